--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,371 @@
+/**
+ * @file
+ * Command-line tool for operators.
+ */
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/environment.h"
+#include "cardamomdeck/http/httpconnection.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::string, api, "127.0.0.1:8081", "IP:port of the resource API of any entry.");
+ABSL_FLAG(bool, json, false, "Print answers as JSON.");
+ABSL_FLAG(std::string,
+          version,
+          "",
+          "apply, delete, drain: the resource version that must be current; 0: must not exist.");
+ABSL_FLAG(std::int64_t, timeout_ms, 10000, "Milliseconds to wait for an answer.");
+ABSL_FLAG(std::uint64_t, from, 0, "watch: version to resume from.");
+ABSL_FLAG(std::uint64_t, count, 1, "watch: number of events to wait for.");
+
+namespace cardamomdeck {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr int exitUsage = 1;
+constexpr int exitSetting = 2;
+constexpr int exitRefused = 4;
+constexpr int exitUnreachable = 5;
+
+constexpr const char *usageText
+    = "Operates a cardamomdeck load balancer.\n\n"
+      "  cardamomctl apply FILE|-            create or replace the resources of a JSON file\n"
+      "  cardamomctl get KIND NAME           show one resource with its conditions\n"
+      "  cardamomctl list KIND               list services, backends or rules\n"
+      "  cardamomctl delete KIND NAME        delete a resource\n"
+      "  cardamomctl drain|undrain BACKEND   stop, or resume, sending work to a back end\n"
+      "  cardamomctl watch                   wait for changes after --from\n"
+      "  cardamomctl status                  state of the entry, its peers and back ends\n"
+      "  cardamomctl explain TRACE           show the hops of a request\n"
+      "  cardamomctl evict ENTRY             remove an entry that is gone for good\n\n"
+      "Each flag can be set by CARDAMOMCTL_<FLAG>.\n"
+      "Exit codes: 0 done, 1 usage, 2 wrong setting, 4 refused, 5 no answer.";
+
+/** An answer of the API; status 0 when there was none. */
+struct api_answer
+{
+    unsigned status = 0;
+    json body;
+};
+
+api_answer call(http::verb method, const std::string &target, const std::string &body = "")
+{
+    const auto address = parseSocketAddress(absl::GetFlag(FLAGS_api));
+    constexpr unsigned httpVersion = 11;
+    http_request request(method, target, httpVersion);
+    request.set(http::field::host, absl::GetFlag(FLAGS_api));
+    if (const std::string version = absl::GetFlag(FLAGS_version); !version.empty() && method != http::verb::get) {
+        request.set(http::field::if_match, version);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    asio::io_context context(1);
+    exchange_result result;
+    const time_point deadline = steady::now() + milliseconds(absl::GetFlag(FLAGS_timeout_ms));
+    message_limits limits;
+    limits.bodyBytes = 64ULL * 1024 * 1024;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            result = co_await exchangeOnce(*address, std::move(request), limits, deadline);
+        },
+        asio::detached);
+    context.run();
+    if (result.code != result_code::ok) {
+        return {0, {{"code", static_cast<int>(result.code)}, {"message", infoOf(result.code).meaning}}};
+    }
+    return {result.response.result_int(), json::parse(result.response.body(), nullptr, false)};
+}
+
+bool isSuccess(const api_answer &answer)
+{
+    constexpr unsigned statusOk = 200;
+    return answer.status == statusOk;
+}
+
+int reportFailure(const std::string &what, const api_answer &answer)
+{
+    std::cerr << what << ": " << answer.body.dump() << "\n";
+    return answer.status == 0 ? exitUnreachable : exitRefused;
+}
+
+void printConditions(const json &resource)
+{
+    for (const json &item : resource["status"]["conditions"]) {
+        std::cout << "  " << item["type"].get<std::string>() << ": " << (item["status"].get<bool>() ? "yes" : "no")
+                  << " (" << item["reason"].get<std::string>() << ")";
+        for (const json &name : item["waiting_for"]) {
+            std::cout << " " << name.get<std::string>();
+        }
+        std::cout << "\n";
+    }
+}
+
+void printResource(const json &resource)
+{
+    std::cout << resource["kind"].get<std::string>() << "/" << resource["name"].get<std::string>() << " version "
+              << resource["version"] << " generation " << resource["generation"] << "\n  " << resource["spec"].dump()
+              << "\n";
+    printConditions(resource);
+}
+
+void print(const json &answer, void (*readable)(const json &))
+{
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << answer.dump(2) << "\n";
+        return;
+    }
+    readable(answer);
+}
+
+std::string resourceTarget(const std::string &kind, const std::string &name)
+{
+    return "/v1/" + kind + "/" + name;
+}
+
+int applyOne(const std::string &kind, const json &resource)
+{
+    const std::string name = resource.is_object() ? resource.value("name", std::string()) : std::string();
+    const api_answer answer = call(http::verb::put, resourceTarget(kind, name), resource.dump());
+    if (!isSuccess(answer)) {
+        return reportFailure("apply " + kind + "/" + name, answer);
+    }
+    std::cout << kind << "/" << name << " accepted at version " << answer.body["version"] << "\n";
+    return 0;
+}
+
+int apply(const std::vector<std::string> &arguments)
+{
+    std::string text;
+    if (arguments[0] == "-") {
+        text.assign(std::istreambuf_iterator<char>(std::cin), {});
+    } else {
+        std::ifstream file(arguments[0]);
+        if (!file) {
+            std::cerr << "cannot read " << arguments[0] << "\n";
+            return exitSetting;
+        }
+        text.assign(std::istreambuf_iterator<char>(file), {});
+    }
+    const json resources = json::parse(text, nullptr, false);
+    if (!resources.is_object()) {
+        std::cerr << arguments[0] << " is not a JSON object with services, backends and rules\n";
+        return exitSetting;
+    }
+    for (const std::string kind : {"services", "backends", "rules"}) {
+        for (const json &resource : resources.value(kind, json::array())) {
+            if (const int code = applyOne(kind, resource); code != 0) {
+                return code;
+            }
+        }
+    }
+    return 0;
+}
+
+int get(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::get, resourceTarget(arguments[0], arguments[1]));
+    if (!isSuccess(answer)) {
+        return reportFailure("get", answer);
+    }
+    print(answer.body, &printResource);
+    return 0;
+}
+
+int list(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::get, "/v1/" + arguments[0]);
+    if (!isSuccess(answer)) {
+        return reportFailure("list", answer);
+    }
+    print(answer.body, [](const json &body) {
+        for (const json &resource : body["items"]) {
+            printResource(resource);
+        }
+    });
+    return 0;
+}
+
+int remove(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::delete_, resourceTarget(arguments[0], arguments[1]));
+    if (!isSuccess(answer)) {
+        return reportFailure("delete", answer);
+    }
+    std::cout << "deleted at version " << answer.body["version"] << "\n";
+    return 0;
+}
+
+int setDraining(const std::string &name, bool draining)
+{
+    const std::string target = resourceTarget("backends", name);
+    const api_answer present = call(http::verb::get, target);
+    if (!isSuccess(present)) {
+        return reportFailure("drain", present);
+    }
+    json spec = present.body["spec"];
+    spec["draining"] = draining;
+    if (absl::GetFlag(FLAGS_version).empty()) {
+        // A change that came in between must not be overwritten.
+        absl::SetFlag(&FLAGS_version, present.body["version"].dump());
+    }
+    return applyOne("backends", spec);
+}
+
+int drain(const std::vector<std::string> &arguments)
+{
+    return setDraining(arguments[0], true);
+}
+
+int undrain(const std::vector<std::string> &arguments)
+{
+    return setDraining(arguments[0], false);
+}
+
+int watch(const std::vector<std::string> & /*arguments*/)
+{
+    std::uint64_t from = absl::GetFlag(FLAGS_from);
+    std::uint64_t seen = 0;
+    while (seen < absl::GetFlag(FLAGS_count)) {
+        const std::int64_t wait = std::max<std::int64_t>(absl::GetFlag(FLAGS_timeout_ms) - 1000, 1000);
+        const api_answer answer
+            = call(http::verb::get, "/v1/watch?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(wait));
+        if (!isSuccess(answer)) {
+            return reportFailure("watch", answer);
+        }
+        const auto version = answer.body["version"].get<std::uint64_t>();
+        if (version == from) {
+            std::cerr << "nothing changed after version " << from << "\n";
+            return exitRefused;
+        }
+        print(answer.body, [](const json &body) {
+            std::cout << "version " << body["version"] << "\n";
+            for (const json &resource : body["changed"]) {
+                printResource(resource);
+            }
+        });
+        from = version;
+        ++seen;
+    }
+    return 0;
+}
+
+int status(const std::vector<std::string> & /*arguments*/)
+{
+    const api_answer answer = call(http::verb::get, "/v1/status");
+    if (!isSuccess(answer)) {
+        return reportFailure("status", answer);
+    }
+    print(answer.body, [](const json &body) {
+        std::cout << "entry " << body["entry"] << " applied " << body["applied"] << " in force " << body["in_force"]
+                  << " store " << (body["store_reachable"].get<bool>() ? "reachable" : "unreachable") << " lease "
+                  << body["lease_left_ms"] << " ms\n";
+        for (const json &member : body["members"]) {
+            std::cout << "  member " << member["name"] << " installed " << member["installed"] << " silent "
+                      << member["silent_ms"] << " ms\n";
+        }
+        for (const json &backend : body["backends"]) {
+            std::cout << "  backend " << backend["name"] << " " << backend["state"].get<std::string>() << " in flight "
+                      << backend["in_flight"] << "\n";
+        }
+    });
+    return 0;
+}
+
+int explain(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::get, "/v1/traces/" + arguments[0]);
+    if (!isSuccess(answer)) {
+        return reportFailure("explain", answer);
+    }
+    print(answer.body, [](const json &body) {
+        for (const json &span : body) {
+            std::cout << span["name"].get<std::string>() << " " << span["duration"] << " us " << span["tags"].dump()
+                      << "\n";
+        }
+    });
+    if (answer.body.empty()) {
+        std::cerr << "this entry holds no trace " << arguments[0] << "\n";
+        return exitRefused;
+    }
+    return 0;
+}
+
+int evict(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::delete_, "/v1/members/" + arguments[0]);
+    if (!isSuccess(answer)) {
+        return reportFailure("evict", answer);
+    }
+    std::cout << "evicted at version " << answer.body["version"] << "\n";
+    return 0;
+}
+
+struct subcommand
+{
+    std::string_view name;
+    std::size_t arguments;
+    int (*run)(const std::vector<std::string> &arguments);
+};
+
+constexpr std::array<subcommand, 10> subcommands = {{{"apply", 1, &apply},
+                                                     {"get", 2, &get},
+                                                     {"list", 1, &list},
+                                                     {"delete", 2, &remove},
+                                                     {"drain", 1, &drain},
+                                                     {"undrain", 1, &undrain},
+                                                     {"watch", 0, &watch},
+                                                     {"status", 0, &status},
+                                                     {"explain", 1, &explain},
+                                                     {"evict", 1, &evict}}};
+
+int runTool(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(usageText);
+    const auto faults = applyEnvironment("CARDAMOMCTL_", {"api", "json", "version", "timeout_ms", "from", "count"});
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    for (const std::string &fault : faults) {
+        std::cerr << fault << "\n";
+    }
+    if (!faults.empty() || !parseSocketAddress(absl::GetFlag(FLAGS_api))) {
+        std::cerr << "--api must be an IP number and a port\n";
+        return exitSetting;
+    }
+    const std::string name = rest.size() > 1 ? rest[1] : "";
+    const auto *const found = std::ranges::find(subcommands, std::string_view(name), &subcommand::name);
+    if (found == subcommands.end() || rest.size() != found->arguments + 2) {
+        std::cerr << usageText << "\n";
+        return exitUsage;
+    }
+    return found->run(std::vector<std::string>(rest.begin() + 2, rest.end()));
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return cardamomdeck::runTool(argc, argv);
+}
--- /dev/null
+++ b/daemon/connectionpool.cpp
@@ -0,0 +1,72 @@
+#include "connectionpool.h"
+
+#include <iterator>
+
+namespace cardamomdeck {
+
+connection_pool::connection_pool(boost::asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+connection_ptr connection_pool::takeIdle(const std::string &backend, time_point provenSince)
+{
+    const auto found = m_idle.find(backend);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    std::vector<connection_ptr> &idle = found->second;
+    while (!idle.empty()) {
+        // The connection given back last has the youngest proof.
+        if (idle.back()->lastProof() < provenSince) {
+            return nullptr;
+        }
+        connection_ptr connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isReusable()) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+connection_ptr connection_pool::create() const
+{
+    return std::make_shared<http_connection>(m_executor);
+}
+
+void connection_pool::giveBack(const std::string &backend, const connection_ptr &connection)
+{
+    if (connection->isReusable()) {
+        m_idle[backend].push_back(connection);
+    }
+}
+
+void connection_pool::dropUnproven(const std::string &backend, time_point provenSince)
+{
+    const auto found = m_idle.find(backend);
+    if (found == m_idle.end()) {
+        return;
+    }
+    std::erase_if(found->second,
+                  [&](const connection_ptr &connection) { return connection->lastProof() < provenSince; });
+}
+
+void connection_pool::dropAllUnproven(time_point provenSince)
+{
+    for (auto position = m_idle.begin(); position != m_idle.end();) {
+        dropUnproven(position->first, provenSince);
+        position = position->second.empty() ? m_idle.erase(position) : std::next(position);
+    }
+}
+
+std::size_t connection_pool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[backend, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
+}
--- /dev/null
+++ b/daemon/connectionpool.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * Kept connections to back ends.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/http/httpconnection.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+using connection_ptr = std::shared_ptr<http_connection>;
+
+/** Idle connections by back end; hands out only those that may carry a request. */
+class connection_pool
+{
+public:
+    /** A pool whose connections run on @p executor. */
+    explicit connection_pool(boost::asio::any_io_executor executor);
+
+    /**
+     * An idle connection to @p backend that proved alive at @p provenSince or
+     * later, or null. Connections found closed are dropped.
+     */
+    connection_ptr takeIdle(const std::string &backend, time_point provenSince);
+
+    /** A new, unconnected connection. */
+    connection_ptr create() const;
+
+    /** Keeps @p connection for later if it can carry another request. */
+    void giveBack(const std::string &backend, const connection_ptr &connection);
+
+    /** Closes connections to @p backend that have not proved alive since @p provenSince. */
+    void dropUnproven(const std::string &backend, time_point provenSince);
+
+    /** Closes all idle connections that have not proved alive since @p provenSince. */
+    void dropAllUnproven(time_point provenSince);
+
+    /** Idle connections held now. */
+    std::size_t idleCount() const;
+
+private:
+    boost::asio::any_io_executor m_executor;
+    std::map<std::string, std::vector<connection_ptr>> m_idle;
+};
+
+}
--- /dev/null
+++ b/daemon/entrysettings.cpp
@@ -0,0 +1,135 @@
+#include "entrysettings.h"
+
+#include "cardamomdeck/base/environment.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+ABSL_FLAG(std::string, name, "", "Name of this entry, unique among the entries; use the name of its VM. Required.");
+ABSL_FLAG(std::string, zone, "", "Availability zone of this entry. Required.");
+ABSL_FLAG(std::string, traffic_address, "127.0.0.1:8080", "IP:port where callers connect.");
+ABSL_FLAG(std::string, api_address, "127.0.0.1:8081", "IP:port of the resource API and the metrics.");
+ABSL_FLAG(std::string, peer_address, "127.0.0.1:8082", "IP:port where other entries connect.");
+ABSL_FLAG(std::string, log_service, "", "IP:port of the platform's log service. Required.");
+ABSL_FLAG(std::string, vm_list, "", "IP:port of the platform's VM list. Empty: not used.");
+ABSL_FLAG(std::string, seeds, "", "Comma-separated peer addresses (IP:port) to ask at start.");
+ABSL_FLAG(std::int64_t, leave_time_ms, 6000, "Milliseconds from SIGTERM to closing the traffic port; at least 3000.");
+ABSL_FLAG(std::int64_t, snapshot_every, 512, "Log records after which a snapshot is written; 1 to 1000000.");
+ABSL_FLAG(std::int64_t, trace_percent, 1, "Requests of a hundred that are traced; failures always are. 0 to 100.");
+ABSL_FLAG(std::string, trace_file, "", "File for spans as Zipkin v2 JSON lines. Empty: memory only.");
+ABSL_FLAG(std::string, log_level, "INFO", "Least level that is logged: INFO, WARN or OFF.");
+
+namespace cardamomdeck {
+
+namespace {
+
+constexpr std::int64_t shortestLeaveMs = 3000;
+constexpr std::int64_t longestLeaveMs = 600'000;
+constexpr std::int64_t mostSnapshotRecords = 1'000'000;
+constexpr std::int64_t wholePercent = 100;
+
+/** Collects the faults of single settings. */
+class settings_reader
+{
+public:
+    explicit settings_reader(std::vector<std::string> &faults)
+        : m_faults(faults)
+    {
+    }
+
+    std::string required(const std::string &flag, const std::string &value)
+    {
+        if (value.empty()) {
+            m_faults.push_back(flag + " is required");
+        }
+        return value;
+    }
+
+    socket_address address(const std::string &flag, const std::string &value)
+    {
+        const auto parsed = parseSocketAddress(value);
+        if (!parsed) {
+            m_faults.push_back(flag + " must be an IP number and a port, as in 127.0.0.1:8080");
+        }
+        return parsed.value_or(socket_address());
+    }
+
+    std::int64_t number(const std::string &flag, std::int64_t value, std::int64_t least, std::int64_t most)
+    {
+        if (value < least || value > most) {
+            m_faults.push_back(flag + " must be from " + std::to_string(least) + " to " + std::to_string(most));
+        }
+        return value;
+    }
+
+    std::string level(const std::string &value)
+    {
+        if (value != "INFO" && value != "WARN" && value != "OFF") {
+            m_faults.emplace_back("log_level must be INFO, WARN or OFF");
+        }
+        return value;
+    }
+
+    std::vector<socket_address> addresses(const std::string &flag, const std::string &value)
+    {
+        const auto parsed = parseSocketAddressList(value);
+        if (!parsed) {
+            m_faults.push_back(flag + " must be a comma-separated list of IP:port");
+        }
+        return parsed.value_or(std::vector<socket_address>());
+    }
+
+private:
+    std::vector<std::string> &m_faults;
+};
+
+}
+
+settings_check readSettings(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Entry of the cardamomdeck load balancer.\n"
+                                 "Each flag can be set by the environment variable CARDAMOMDECK_<FLAG>; flags win.\n"
+                                 "Exit codes: 0 stopped, 1 unknown flag, 2 wrong setting, 3 port in use.");
+    settings_check check;
+    check.faults = applyEnvironment("CARDAMOMDECK_",
+                                    {"name",
+                                     "zone",
+                                     "traffic_address",
+                                     "api_address",
+                                     "peer_address",
+                                     "log_service",
+                                     "vm_list",
+                                     "seeds",
+                                     "leave_time_ms",
+                                     "snapshot_every",
+                                     "trace_percent",
+                                     "trace_file",
+                                     "log_level"});
+    if (absl::ParseCommandLine(argc, argv).size() > 1) {
+        check.faults.emplace_back("arguments without a flag are not understood");
+    }
+    settings_reader reader(check.faults);
+    entry_settings &settings = check.settings;
+    settings.name = reader.required("name", absl::GetFlag(FLAGS_name));
+    settings.zone = reader.required("zone", absl::GetFlag(FLAGS_zone));
+    settings.traffic = reader.address("traffic_address", absl::GetFlag(FLAGS_traffic_address));
+    settings.api = reader.address("api_address", absl::GetFlag(FLAGS_api_address));
+    settings.peer = reader.address("peer_address", absl::GetFlag(FLAGS_peer_address));
+    settings.logService = reader.address("log_service", absl::GetFlag(FLAGS_log_service));
+    if (const std::string vmList = absl::GetFlag(FLAGS_vm_list); !vmList.empty()) {
+        settings.vmList = reader.address("vm_list", vmList);
+    }
+    settings.seeds = reader.addresses("seeds", absl::GetFlag(FLAGS_seeds));
+    settings.leaveTime = milliseconds(
+        reader.number("leave_time_ms", absl::GetFlag(FLAGS_leave_time_ms), shortestLeaveMs, longestLeaveMs));
+    settings.snapshotEvery = static_cast<std::uint64_t>(
+        reader.number("snapshot_every", absl::GetFlag(FLAGS_snapshot_every), 1, mostSnapshotRecords));
+    settings.tracePercent = static_cast<std::uint32_t>(
+        reader.number("trace_percent", absl::GetFlag(FLAGS_trace_percent), 0, wholePercent));
+    settings.traceFile = absl::GetFlag(FLAGS_trace_file);
+    settings.logLevel = reader.level(absl::GetFlag(FLAGS_log_level));
+    return check;
+}
+
+}
--- /dev/null
+++ b/daemon/entrysettings.h
@@ -0,0 +1,52 @@
+/**
+ * @file
+ * Settings of one entry, from flags and environment variables.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/socketaddress.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** Checked settings. */
+struct entry_settings
+{
+    std::string name;
+    std::string zone;
+    socket_address traffic;
+    socket_address api;
+    socket_address peer;
+    socket_address logService;
+    std::optional<socket_address> vmList;
+    /** Peer addresses to ask before the members are known. */
+    std::vector<socket_address> seeds;
+    /** Time between leaving the address answers and closing the traffic port. */
+    milliseconds leaveTime{6000};
+    /** Records after which a snapshot is written. */
+    std::uint64_t snapshotEvery = 512;
+    /** Requests of a hundred whose trace is written; failures are always written. */
+    std::uint32_t tracePercent = 1;
+    /** Where spans are written; empty keeps them in memory only. */
+    std::string traceFile;
+    std::string logLevel;
+
+    bool operator==(const entry_settings &) const = default;
+};
+
+/** Settings, and every fault found in them. */
+struct settings_check
+{
+    entry_settings settings;
+    std::vector<std::string> faults;
+};
+
+/** Parses the command line, which wins over the environment, and checks all values. */
+settings_check readSettings(int argc, char **argv);
+
+}
--- /dev/null
+++ b/daemon/logfollower.cpp
@@ -0,0 +1,291 @@
+#include "logfollower.h"
+
+#include "cardamomdeck/base/logline.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iterator>
+#include <random>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+const std::string configStream = "config";
+const std::string snapshotStream = "snapshots";
+
+/** Time that the log service may hold a read open. */
+constexpr milliseconds readWait{800};
+
+/** Time that an answer of the log service may take beyond that. */
+constexpr milliseconds readGrace{700};
+
+/** Pause after a read that failed. */
+constexpr milliseconds readRetryPause{200};
+
+constexpr milliseconds appendTimeout{1500};
+
+/** Time in which an appended record should be read back. */
+constexpr milliseconds foldTimeout{1000};
+
+constexpr milliseconds memberPeriod{50};
+constexpr milliseconds joinJitter{150};
+
+/** Silence after which a member is removed. */
+constexpr milliseconds evictionSilence{10'000};
+
+/** Further silence for each member that comes before this entry, so that one entry acts first. */
+constexpr milliseconds evictionStagger{1'000};
+
+constexpr milliseconds snapshotPeriod{500};
+constexpr milliseconds vmListPeriod{1'000};
+constexpr milliseconds vmListTimeout{900};
+
+log_offset appliedOf(const std::string &snapshot)
+{
+    const auto parsed = nlohmann::json::parse(snapshot, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("applied") || !parsed["applied"].is_number_unsigned()) {
+        return 0;
+    }
+    return parsed["applied"].get<log_offset>();
+}
+
+}
+
+log_follower::log_follower(asio::io_context &context,
+                           const entry_settings &settings,
+                           control_state &state,
+                           log_service &log)
+    : m_context(context)
+    , m_settings(settings)
+    , m_state(state)
+    , m_log(log)
+    , m_random(std::random_device()())
+{
+}
+
+void log_follower::start()
+{
+    const auto spawn = [this](asio::awaitable<void> (log_follower::*loop)()) {
+        asio::co_spawn(
+            m_context, [this, loop]() -> asio::awaitable<void> { co_await (this->*loop)(); }, asio::detached);
+    };
+    spawn(&log_follower::readLoop);
+    spawn(&log_follower::memberLoop);
+    spawn(&log_follower::snapshotLoop);
+    if (m_settings.vmList) {
+        spawn(&log_follower::vmListLoop);
+    }
+}
+
+asio::awaitable<result_code> log_follower::append(change value, time_point deadline)
+{
+    const append_result result = co_await m_log.append(configStream, encodeChange(value), deadline);
+    co_return result.code;
+}
+
+asio::awaitable<void> log_follower::leave(time_point deadline)
+{
+    while (m_state.isMember() && steady::now() < deadline) {
+        const leave_change action
+            = {m_state.self().name, m_state.self().incarnation, m_state.config().membershipVersion()};
+        change departure = {newChangeId(), action};
+        co_await appendAndAwait(std::move(departure));
+        co_await sleepUntil(steady::now() + milliseconds(randomIndex(m_random, joinJitter.count())));
+    }
+}
+
+std::string log_follower::newChangeId()
+{
+    return m_state.self().name + "-" + std::to_string(m_state.self().incarnation) + "-"
+           + std::to_string(++m_changeCount);
+}
+
+asio::awaitable<void> log_follower::sleepUntil(time_point at)
+{
+    asio::steady_timer timer(m_context);
+    timer.expires_at(at);
+    co_await timer.async_wait(asTuple);
+}
+
+asio::awaitable<void> log_follower::readLoop()
+{
+    co_await readSnapshot();
+    for (;;) {
+        const bool answered = co_await readOnce();
+        m_state.setStoreReachable(answered);
+        if (!answered) {
+            co_await sleepUntil(steady::now() + readRetryPause);
+        }
+    }
+}
+
+asio::awaitable<bool> log_follower::readOnce()
+{
+    const time_point asked = steady::now();
+    const log_offset from = m_state.config().applied() + 1;
+    const read_result result = co_await m_log.read(configStream, from, asked + readWait, asked + readWait + readGrace);
+    if (result.code == result_code::store_unavailable) {
+        co_return false;
+    }
+    if (result.code == result_code::offset_expired) {
+        log_line("log_offset_expired").add("offset", from).warn();
+        co_await readSnapshot();
+        co_await sleepUntil(steady::now() + readRetryPause);
+        co_return true;
+    }
+    m_state.ingest(result.records);
+    if (m_state.config().applied() + 1 >= result.next) {
+        m_state.confirmedByStore(asked);
+    }
+    co_return true;
+}
+
+asio::awaitable<void> log_follower::readSnapshot()
+{
+    // The stream may hold several snapshots; each is read, and only a newer one than the state is used.
+    for (;;) {
+        const time_point now = steady::now();
+        const read_result result = co_await m_log.read(snapshotStream, m_nextSnapshotRecord, now, now + readGrace);
+        if (result.code == result_code::offset_expired) {
+            ++m_nextSnapshotRecord;
+            continue;
+        }
+        if (result.code != result_code::ok || result.records.empty()) {
+            co_return;
+        }
+        m_nextSnapshotRecord = result.records.back().offset + 1;
+        m_snapshotApplied = std::max(m_snapshotApplied, appliedOf(result.records.back().data));
+        m_state.ingestSnapshot(result.records.back().data);
+    }
+}
+
+asio::awaitable<void> log_follower::memberLoop()
+{
+    for (;;) {
+        co_await sleepUntil(steady::now() + memberPeriod);
+        if (m_state.isLeaving() || !m_state.isStoreReachable()) {
+            continue;
+        }
+        if (m_state.isMember()) {
+            co_await evictSilentMember();
+        } else if (mayJoin()) {
+            co_await join();
+        }
+    }
+}
+
+bool log_follower::membershipIsAccepted() const
+{
+    return m_state.peers().acceptedAt(m_state.config().membershipVersion()).has_value();
+}
+
+bool log_follower::isListed(const std::string &vm) const
+{
+    const vm_list &list = m_state.vmList();
+    return list.version == 0 || list.live.contains(vm) || list.leaving.contains(vm);
+}
+
+bool log_follower::mayJoin() const
+{
+    const auto &members = m_state.config().members();
+    // A new run of a member takes the member's place: the set of names, and so every majority, stays the same.
+    return members.empty() || members.contains(m_state.self().name) || membershipIsAccepted();
+}
+
+asio::awaitable<void> log_follower::join()
+{
+    co_await sleepUntil(steady::now() + milliseconds(randomIndex(m_random, joinJitter.count())));
+    if (m_state.isMember() || !mayJoin()) {
+        co_return;
+    }
+    const join_change action = {m_state.self(), m_state.config().membershipVersion()};
+    change arrival = {newChangeId(), action};
+    co_await appendAndAwait(std::move(arrival));
+}
+
+asio::awaitable<void> log_follower::evictSilentMember()
+{
+    const auto &members = m_state.config().members();
+    const auto rank = std::distance(members.begin(), members.find(m_state.self().name));
+    const time_point since = steady::now() - evictionSilence - evictionStagger * rank;
+    if (m_state.peers().membershipChangedAt() > since) {
+        co_return;
+    }
+    const auto silent = m_state.peers().silentSince(since);
+    for (const std::string &name : silent) {
+        // Without a majority, only the platform's word that the VM is gone allows to shrink the membership.
+        const bool majorityAgrees = membershipIsAccepted() && m_state.peers().majorityHeardSince(since);
+        if (!majorityAgrees && isListed(name)) {
+            continue;
+        }
+        log_line("member_evicted").add("entry", name).warn();
+        const leave_change action = {name, members.at(name).incarnation, m_state.config().membershipVersion()};
+        change departure = {newChangeId(), action};
+        co_await appendAndAwait(std::move(departure));
+        co_return;
+    }
+}
+
+asio::awaitable<void> log_follower::appendAndAwait(change value)
+{
+    const std::string id = value.id;
+    const time_point now = steady::now();
+    const result_code code = co_await append(std::move(value), now + appendTimeout);
+    if (code != result_code::ok) {
+        co_return;
+    }
+    const time_point deadline = steady::now() + foldTimeout;
+    while (!m_state.config().resultOf(id) && steady::now() < deadline) {
+        co_await sleepUntil(steady::now() + milliseconds(5));
+    }
+}
+
+asio::awaitable<void> log_follower::snapshotLoop()
+{
+    for (;;) {
+        co_await sleepUntil(steady::now() + snapshotPeriod
+                            + milliseconds(randomIndex(m_random, snapshotPeriod.count())));
+        const bool due = m_state.config().applied() >= m_snapshotApplied + m_settings.snapshotEvery;
+        if (due && m_state.isMember() && m_state.isStoreReachable()) {
+            co_await writeSnapshot();
+        }
+    }
+}
+
+asio::awaitable<void> log_follower::writeSnapshot()
+{
+    // Another entry may have written one in the meantime. Should two write, both snapshots are valid.
+    co_await readSnapshot();
+    if (m_state.config().applied() < m_snapshotApplied + m_settings.snapshotEvery) {
+        co_return;
+    }
+    const log_offset applied = m_state.config().applied();
+    const std::string snapshot = m_state.config().toSnapshot();
+    const append_result result = co_await m_log.append(snapshotStream, snapshot, steady::now() + appendTimeout);
+    if (result.code == result_code::ok) {
+        m_snapshotApplied = applied;
+        log_line("snapshot_written").add("applied", applied).add("bytes", snapshot.size()).info();
+    }
+}
+
+asio::awaitable<void> log_follower::vmListLoop()
+{
+    for (;;) {
+        if (const auto list = co_await readVmList(*m_settings.vmList, steady::now() + vmListTimeout)) {
+            m_state.setVmList(*list);
+        }
+        co_await sleepUntil(steady::now() + vmListPeriod);
+    }
+}
+
+}
--- /dev/null
+++ b/daemon/logfollower.h
@@ -0,0 +1,69 @@
+/**
+ * @file
+ * Reads the configuration stream, keeps this entry a member, and writes snapshots.
+ */
+#pragma once
+
+#include "controlstate.h"
+
+#include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/platform/logservice.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace cardamomdeck {
+
+/** Everything that this entry reads from, and appends to, the platform on its own account. */
+class log_follower
+{
+public:
+    /** Follows @p log for @p state on @p context. */
+    log_follower(boost::asio::io_context &context,
+                 const entry_settings &settings,
+                 control_state &state,
+                 log_service &log);
+
+    /** Starts the loops. */
+    void start();
+
+    /** Appends one change to the configuration stream. Errors: store_unavailable. */
+    boost::asio::awaitable<result_code> append(change value, time_point deadline);
+
+    /** Leaves the membership; gives up at @p deadline. */
+    boost::asio::awaitable<void> leave(time_point deadline);
+
+    /** An id for a change that no other entry will use. */
+    std::string newChangeId();
+
+private:
+    boost::asio::awaitable<void> readLoop();
+    boost::asio::awaitable<bool> readOnce();
+    boost::asio::awaitable<void> readSnapshot();
+    boost::asio::awaitable<void> memberLoop();
+    boost::asio::awaitable<void> join();
+    boost::asio::awaitable<void> evictSilentMember();
+    boost::asio::awaitable<void> snapshotLoop();
+    boost::asio::awaitable<void> writeSnapshot();
+    boost::asio::awaitable<void> vmListLoop();
+    boost::asio::awaitable<void> sleepUntil(time_point at);
+    boost::asio::awaitable<void> appendAndAwait(change value);
+    bool mayJoin() const;
+    bool membershipIsAccepted() const;
+    bool isListed(const std::string &vm) const;
+
+    boost::asio::io_context &m_context;
+    const entry_settings &m_settings;
+    control_state &m_state;
+    log_service &m_log;
+    random_source m_random;
+    /** Offset of the configuration that the newest known snapshot contains. */
+    log_offset m_snapshotApplied = 0;
+    log_offset m_nextSnapshotRecord = 1;
+    std::uint64_t m_changeCount = 0;
+};
+
+}
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,183 @@
+/**
+ * @file
+ * Entry daemon: wires the threads and runs until SIGTERM or SIGINT.
+ */
+#include "controlstate.h"
+#include "entrysettings.h"
+#include "logfollower.h"
+#include "peerexchange.h"
+#include "requestpath.h"
+#include "resourceapi.h"
+#include "tracesink.h"
+#include "trafficexchange.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/platform/httplogservice.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+namespace cardamomdeck {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr int exitWrongSetting = 2;
+constexpr int exitPortInUse = 3;
+
+/** Longest time that the shutdown waits for requests in flight, after the traffic port is closed. */
+constexpr milliseconds longestRequestWait{60'000};
+
+/** All parts of the daemon. */
+class entry_daemon
+{
+public:
+    explicit entry_daemon(const entry_settings &settings)
+        : m_settings(settings)
+        , m_link(m_control, m_traffic)
+        , m_traces(settings.name, settings.traceFile)
+        , m_log(m_control.get_executor(), settings.logService)
+        , m_state(settings, makeSelf(settings), m_link)
+        , m_path(m_traffic, settings, m_link, m_traces)
+        , m_follower(m_control, settings, m_state, m_log)
+        , m_exchange(m_control, settings, m_state)
+        , m_api(m_control, settings, m_state, m_follower, m_exchange, m_traces)
+    {
+        m_link.reports.onItem([this](const auto &report) { m_state.setReport(report); });
+        m_state.onChange([this] { askPeersAfterNews(); });
+    }
+
+    int run()
+    {
+        if (m_path.start() != result_code::ok) {
+            return portInUse(m_settings.traffic);
+        }
+        if (m_api.start() != result_code::ok) {
+            return portInUse(m_settings.api);
+        }
+        if (m_exchange.start() != result_code::ok) {
+            return portInUse(m_settings.peer);
+        }
+        m_follower.start();
+        asio::co_spawn(
+            m_control, [this]() -> asio::awaitable<void> { co_await awaitSignal(); }, asio::detached);
+        log_line("entry_started")
+            .add("entry", m_settings.name)
+            .add("traffic", toString(m_settings.traffic))
+            .add("api", toString(m_settings.api))
+            .info();
+        std::thread trafficThread([this] { m_traffic.run(); });
+        m_control.run();
+        trafficThread.join();
+        log_line("entry_stopped").add("entry", m_settings.name).info();
+        return 0;
+    }
+
+private:
+    static entry_member makeSelf(const entry_settings &settings)
+    {
+        const auto incarnation = static_cast<std::uint64_t>(unixMilliseconds());
+        return {settings.name, settings.zone, incarnation, settings.traffic, settings.api, settings.peer};
+    }
+
+    static int portInUse(const socket_address &address)
+    {
+        log_line("port_in_use")
+            .add("code", static_cast<int>(result_code::port_in_use))
+            .add("address", toString(address))
+            .warn();
+        return exitPortInUse;
+    }
+
+    /** Peers hear at once about records, installations, shutdowns and drained back ends. */
+    void askPeersAfterNews()
+    {
+        peer_message news = m_state.messageFor(m_state.config().applied());
+        if (!(news == m_lastNews)) {
+            m_lastNews = std::move(news);
+            m_exchange.askSoon();
+        }
+    }
+
+    asio::awaitable<void> awaitSignal()
+    {
+        asio::signal_set signals(m_control, SIGTERM, SIGINT);
+        co_await signals.async_wait(asTuple);
+        co_await leave();
+        m_traffic.stop();
+        m_control.stop();
+    }
+
+    /** Withdraws the address, waits until callers have seen that, then closes. */
+    asio::awaitable<void> leave()
+    {
+        log_line("entry_leaving").add("entry", m_settings.name).info();
+        m_state.startLeaving();
+        asio::steady_timer timer(m_control);
+        timer.expires_at(steady::now() + m_settings.leaveTime);
+        co_await timer.async_wait(asTuple);
+        asio::post(m_traffic, [this] { m_path.stop(); });
+        const time_point deadline = steady::now() + longestRequestWait;
+        constexpr milliseconds reportTime{100};
+        do {
+            timer.expires_at(steady::now() + reportTime);
+            co_await timer.async_wait(asTuple);
+        } while (m_state.report().requestsInFlight > 0 && steady::now() < deadline);
+        constexpr milliseconds leaveRecordTime{1500};
+        co_await m_follower.leave(steady::now() + leaveRecordTime);
+    }
+
+    const entry_settings &m_settings;
+    asio::io_context m_control{1};
+    asio::io_context m_traffic{1};
+    traffic_link m_link;
+    trace_sink m_traces;
+    http_log_service m_log;
+    control_state m_state;
+    request_path m_path;
+    log_follower m_follower;
+    peer_exchange m_exchange;
+    resource_api m_api;
+    peer_message m_lastNews;
+};
+
+int runDaemon(int argc, char **argv)
+{
+    const settings_check check = readSettings(argc, argv);
+    if (!check.faults.empty()) {
+        for (const std::string &fault : check.faults) {
+            const log_line line = log_line("setting_invalid").add("code", 100).add("detail", fault);
+            std::fprintf(stderr, "%s\n", line.text().c_str());
+        }
+        return exitWrongSetting;
+    }
+    startLogging(check.settings.logLevel);
+    int exitCode = 0;
+    {
+        entry_daemon daemon(check.settings);
+        exitCode = daemon.run();
+    }
+    stopLogging();
+    return exitCode;
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return cardamomdeck::runDaemon(argc, argv);
+}
--- /dev/null
+++ b/daemon/peerexchange.cpp
@@ -0,0 +1,294 @@
+#include "peerexchange.h"
+
+#include "cardamomdeck/base/logline.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <array>
+#include <optional>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Period in which each peer is asked. */
+constexpr milliseconds askPeriod{800};
+
+/** Shortest time between two questions to one peer. */
+constexpr milliseconds shortestAskGap{20};
+
+/** Longest time that one question may take. */
+constexpr milliseconds askTimeout{1000};
+
+/** Longest time that a peer may be quiet on a connection to this entry. */
+constexpr milliseconds answerIdleTimeout{10'000};
+
+/** Period in which the set of peers is compared with the members. */
+constexpr milliseconds linkPeriod{100};
+
+using frame_length = std::uint32_t;
+
+/** Connections must have answered before this bound, or be closed. */
+asio::awaitable<bool> writeFrame(beast::tcp_stream &stream, const std::string &body, std::uint64_t &bytes)
+{
+    const frame_length length = boost::endian::native_to_big(static_cast<frame_length>(body.size()));
+    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(&length, sizeof length), asio::buffer(body)};
+    const auto [error, size] = co_await asio::async_write(stream, buffers, asTuple);
+    bytes += size;
+    co_return !error;
+}
+
+/** Nothing when the connection failed or the frame is too large. */
+asio::awaitable<std::optional<std::string>> readFrame(beast::tcp_stream &stream, std::uint64_t &bytes)
+{
+    frame_length length = 0;
+    const auto [headError, headSize] = co_await asio::async_read(stream, asio::buffer(&length, sizeof length), asTuple);
+    if (headError) {
+        co_return std::nullopt;
+    }
+    boost::endian::big_to_native_inplace(length);
+    if (length > largestPeerFrame) {
+        log_line("peer_frame_rejected")
+            .add("code", infoOf(result_code::frame_too_large).name)
+            .add("bytes", length)
+            .warn();
+        co_return std::nullopt;
+    }
+    std::string body(length, '\0');
+    const auto [bodyError, bodySize] = co_await asio::async_read(stream, asio::buffer(body), asTuple);
+    bytes += headSize + bodySize;
+    if (bodyError) {
+        co_return std::nullopt;
+    }
+    co_return body;
+}
+
+std::optional<peer_message> decodeFrame(const std::string &frame)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<peer_message>> {
+            BOOST_LEAF_AUTO(message, decodePeerMessage(frame));
+            return message;
+        },
+        [](const failure &error) {
+            log_line("peer_frame_rejected").add("code", infoOf(error.code).name).add("detail", error.detail).warn();
+            return std::optional<peer_message>();
+        },
+        [] { return std::optional<peer_message>(); });
+}
+
+}
+
+/** The connection on which this entry asks one peer. */
+struct peer_exchange::peer_link
+{
+    peer_link(asio::io_context &context, socket_address peerAddress)
+        : address(std::move(peerAddress))
+        , timer(context)
+    {
+    }
+
+    socket_address address;
+    std::optional<beast::tcp_stream> stream;
+    asio::steady_timer timer;
+    log_offset peerApplied = 0;
+    bool askAgain = false;
+    bool asking = false;
+    bool removed = false;
+};
+
+peer_exchange::peer_exchange(asio::io_context &context, const entry_settings &settings, control_state &state)
+    : m_context(context)
+    , m_settings(settings)
+    , m_state(state)
+    , m_acceptor(context)
+{
+}
+
+result_code peer_exchange::start()
+{
+    beast::error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.peer.host, error), m_settings.peer.port);
+    if (!error) {
+        m_acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return result_code::port_in_use;
+    }
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await acceptLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await linkLoop(); }, asio::detached);
+    return result_code::ok;
+}
+
+void peer_exchange::askSoon()
+{
+    for (auto &[address, link] : m_links) {
+        link->askAgain = true;
+        if (!link->asking) {
+            link->timer.cancel();
+        }
+    }
+}
+
+std::uint64_t peer_exchange::bytes() const
+{
+    return m_bytes;
+}
+
+asio::awaitable<void> peer_exchange::acceptLoop()
+{
+    asio::steady_timer pause(m_context);
+    for (;;) {
+        auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (error) {
+            pause.expires_at(steady::now() + shortestAskGap);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+        asio::co_spawn(
+            m_context,
+            [this, accepted]() -> asio::awaitable<void> { co_await answerLoop(std::move(*accepted)); },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> peer_exchange::answerLoop(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    for (;;) {
+        stream.expires_at(steady::now() + answerIdleTimeout);
+        const auto frame = co_await readFrame(stream, m_bytes);
+        if (!frame) {
+            co_return;
+        }
+        const auto message = decodeFrame(*frame);
+        if (!message) {
+            co_return;
+        }
+        m_state.heardRequest(*message);
+        const std::string reply = encodePeerMessage(m_state.messageFor(message->applied));
+        if (!co_await writeFrame(stream, reply, m_bytes)) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<void> peer_exchange::linkLoop()
+{
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        const std::set<socket_address> wanted = wantedPeers();
+        for (const socket_address &address : wanted) {
+            if (m_links.contains(address)) {
+                continue;
+            }
+            auto link = std::make_shared<peer_link>(m_context, address);
+            m_links[address] = link;
+            asio::co_spawn(
+                m_context, [this, link]() -> asio::awaitable<void> { co_await askLoop(link); }, asio::detached);
+        }
+        std::erase_if(m_links, [&](const auto &item) {
+            item.second->removed = !wanted.contains(item.first);
+            return item.second->removed;
+        });
+        timer.expires_at(steady::now() + linkPeriod);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+asio::awaitable<void> peer_exchange::askLoop(std::shared_ptr<peer_link> link)
+{
+    while (!link->removed) {
+        link->askAgain = false;
+        link->asking = true;
+        const bool answered = co_await askOnce(link);
+        link->asking = false;
+        if (!answered) {
+            link->stream.reset();
+            link->peerApplied = m_state.config().applied();
+        }
+        // A failed question is not repeated at once.
+        const bool again = link->askAgain && answered;
+        link->timer.expires_at(steady::now() + (again ? shortestAskGap : askPeriod));
+        co_await link->timer.async_wait(asTuple);
+    }
+}
+
+asio::awaitable<bool> peer_exchange::askOnce(std::shared_ptr<peer_link> link)
+{
+    const time_point askedAt = steady::now();
+    if (!link->stream && !co_await connect(link, askedAt + askTimeout)) {
+        co_return false;
+    }
+    link->stream->expires_at(askedAt + askTimeout);
+    const std::string question = encodePeerMessage(m_state.messageFor(link->peerApplied));
+    if (!co_await writeFrame(*link->stream, question, m_bytes)) {
+        co_return false;
+    }
+    const auto frame = co_await readFrame(*link->stream, m_bytes);
+    if (!frame) {
+        co_return false;
+    }
+    const auto message = decodeFrame(*frame);
+    if (!message) {
+        co_return false;
+    }
+    link->peerApplied = message->applied;
+    m_state.heardReply(*message, askedAt);
+    co_return true;
+}
+
+asio::awaitable<bool> peer_exchange::connect(std::shared_ptr<peer_link> link, time_point deadline)
+{
+    beast::error_code addressError;
+    const tcp::endpoint endpoint(asio::ip::make_address(link->address.host, addressError), link->address.port);
+    link->stream.emplace(m_context);
+    link->stream->expires_at(deadline);
+    const auto [error] = co_await link->stream->async_connect(endpoint, asTuple);
+    beast::error_code ignored;
+    link->stream->socket().set_option(tcp::no_delay(true), ignored);
+    // What the peer holds is not known until its first reply.
+    link->peerApplied = m_state.config().applied();
+    co_return !error;
+}
+
+std::set<socket_address> peer_exchange::wantedPeers() const
+{
+    std::set<socket_address> wanted(m_settings.seeds.begin(), m_settings.seeds.end());
+    for (const auto &[name, member] : m_state.config().members()) {
+        wanted.insert(member.peer);
+    }
+    wanted.erase(m_settings.peer);
+    return wanted;
+}
+
+}
--- /dev/null
+++ b/daemon/peerexchange.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * Exchanges messages with the other entries.
+ */
+#pragma once
+
+#include "controlstate.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cardamomdeck {
+
+/** Asks each member periodically, and at once after a change; answers their questions. */
+class peer_exchange
+{
+public:
+    /** Exchanges for @p state on @p context. */
+    peer_exchange(boost::asio::io_context &context, const entry_settings &settings, control_state &state);
+
+    /** Binds the peer port and starts. Errors: port_in_use. */
+    result_code start();
+
+    /** Asks all peers again without waiting for the period. */
+    void askSoon();
+
+    /** Bytes sent and received on connections to and from peers. */
+    std::uint64_t bytes() const;
+
+private:
+    struct peer_link;
+
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> answerLoop(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> linkLoop();
+    boost::asio::awaitable<void> askLoop(std::shared_ptr<peer_link> link);
+    boost::asio::awaitable<bool> askOnce(std::shared_ptr<peer_link> link);
+    boost::asio::awaitable<bool> connect(std::shared_ptr<peer_link> link, time_point deadline);
+    std::set<socket_address> wantedPeers() const;
+
+    boost::asio::io_context &m_context;
+    const entry_settings &m_settings;
+    control_state &m_state;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::map<socket_address, std::shared_ptr<peer_link>> m_links;
+    std::uint64_t m_bytes = 0;
+};
+
+}
--- /dev/null
+++ b/daemon/requestpath.h
@@ -0,0 +1,105 @@
+/**
+ * @file
+ * Serves callers: everything that runs on the traffic thread.
+ */
+#pragma once
+
+#include "connectionpool.h"
+#include "entrysettings.h"
+#include "tracesink.h"
+#include "trafficexchange.h"
+#include "trafficmetrics.h"
+
+#include "cardamomdeck/http/httpserver.h"
+#include "cardamomdeck/routing/balancer.h"
+#include "cardamomdeck/routing/probebudget.h"
+#include "cardamomdeck/routing/requestplan.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cardamomdeck {
+
+/** A service with everything that the traffic thread keeps for it. */
+struct service_runtime
+{
+    /** Runtime of @p spec in an entry of @p zone. */
+    service_runtime(const service_spec &spec, const std::string &zone)
+        : balance(spec, zone)
+        , retries(spec.retryPercent)
+        , hedges(spec.hedgePercent)
+    {
+    }
+
+    balancer balance;
+    attempt_budget retries;
+    attempt_budget hedges;
+    service_metrics metrics;
+    std::map<std::string, probe_budget> probeBudgets;
+    std::set<std::string> probing;
+    std::uint32_t inFlight = 0;
+};
+
+/** Accepts callers' requests and sends them to back ends. */
+class request_path
+{
+public:
+    /** The request path of the entry with @p settings; runs on @p traffic. */
+    request_path(boost::asio::io_context &traffic,
+                 const entry_settings &settings,
+                 traffic_link &link,
+                 trace_sink &traces);
+
+    /** Binds the traffic port and starts to serve. Errors: port_in_use. */
+    result_code start();
+
+    /** Closes callers' connections after their next answer, and accepts no new ones. */
+    void stop();
+
+private:
+    struct request_run;
+    friend struct request_run;
+
+    boost::asio::awaitable<http_response> handle(http_request &request, http_session &session);
+    boost::asio::awaitable<http_response> serve(http_request &request, http_session &session);
+    boost::asio::awaitable<bool> waitUntilFresh(time_point deadline);
+    http_response answerAddresses(const http_request &request) const;
+    http_response reject(result_code code) const;
+    void install(const std::shared_ptr<const traffic_update> &update);
+    void installServices(const routing_view &view);
+    void updateProbeBudgets(service_runtime &runtime) const;
+    boost::asio::awaitable<void> reportLoop();
+    boost::asio::awaitable<void> probeLoop();
+    boost::asio::awaitable<void> probe(std::shared_ptr<service_runtime> runtime, backend_handle backend);
+    void startDueProbes(const std::shared_ptr<service_runtime> &runtime, time_point now);
+    void noteDraining(const std::string &backend, const http_response &response);
+    void report();
+    std::shared_ptr<const traffic_report> makeReport();
+    std::string renderMetrics() const;
+    std::string stateOf(const backend_stats &backend, time_point now) const;
+
+    boost::asio::io_context &m_context;
+    const entry_settings &m_settings;
+    traffic_link &m_link;
+    trace_sink &m_traces;
+    random_source m_random;
+    connection_pool m_pool;
+    http_server m_server;
+    std::shared_ptr<const traffic_update> m_update;
+    std::map<std::string, std::shared_ptr<service_runtime>> m_services;
+    /** Attempts in flight by back end, also of back ends that are no longer configured. */
+    std::map<std::string, std::uint32_t> m_held;
+    std::set<std::string> m_announcedLeaving;
+    std::uint64_t m_requestsInFlight = 0;
+    std::shared_ptr<const traffic_report> m_lastReport;
+    unsigned m_reports = 0;
+    std::string m_metrics;
+};
+
+}
--- /dev/null
+++ b/daemon/resourceapi.cpp
@@ -0,0 +1,448 @@
+#include "resourceapi.h"
+
+#include "trafficmetrics.h"
+
+#include "cardamomdeck/base/logline.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <ctime>
+#include <optional>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Longest time from a change request to its answer. */
+constexpr milliseconds changeTimeout{5'000};
+
+/** Longest time of one append. */
+constexpr milliseconds appendTimeout{1'000};
+
+/** Pause between two looks at a pending change. */
+constexpr milliseconds pendingPoll{2};
+
+constexpr milliseconds watchPoll{10};
+constexpr milliseconds longestWatch{30'000};
+
+constexpr unsigned statusOk = 200;
+
+http_response errorResponse(result_code code, const std::string &detail)
+{
+    const result_code_info &info = infoOf(code);
+    const json body
+        = {{"code", static_cast<int>(code)}, {"name", info.name}, {"message", info.meaning}, {"detail", detail}};
+    return makeResponse(info.httpStatus, body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::vector<std::string> splitPath(std::string_view path)
+{
+    std::vector<std::string> parts;
+    while (!path.empty()) {
+        path.remove_prefix(path.front() == '/' ? 1 : 0);
+        const auto slash = std::min(path.find('/'), path.size());
+        if (slash > 0) {
+            parts.emplace_back(path.substr(0, slash));
+        }
+        path.remove_prefix(slash);
+    }
+    return parts;
+}
+
+json condition(const char *type, bool holds, const std::string &reason, const std::vector<std::string> &waitingFor)
+{
+    return {{"type", type}, {"status", holds}, {"reason", reason}, {"waiting_for", waitingFor}};
+}
+
+double processSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+}
+
+/** A request with its target taken apart. */
+struct resource_api::api_request
+{
+    explicit api_request(const http_request &received)
+        : method(received.method())
+        , body(received.body())
+    {
+        const auto rawTarget = received.target();
+        const std::string_view target(rawTarget.data(), rawTarget.size());
+        const auto question = std::min(target.find('?'), target.size());
+        path = splitPath(target.substr(0, question));
+        query = target.substr(std::min(question + 1, target.size()));
+        const auto match = received[http::field::if_match];
+        ifMatch = std::string(match.data(), match.size());
+        const auto id = received["x-change-id"];
+        changeId = std::string(id.data(), id.size());
+    }
+
+    /** Value of "name=" in the query, as a number. */
+    std::uint64_t queryNumber(std::string_view name) const
+    {
+        std::string_view rest = query;
+        while (!rest.empty()) {
+            const auto end = std::min(rest.find('&'), rest.size());
+            const std::string_view pair = rest.substr(0, end);
+            if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=') {
+                return parseNumber(pair.substr(name.size() + 1)).value_or(0);
+            }
+            rest.remove_prefix(std::min(end + 1, rest.size()));
+        }
+        return 0;
+    }
+
+    http::verb method;
+    std::vector<std::string> path;
+    std::string query;
+    std::string body;
+    std::string ifMatch;
+    std::string changeId;
+};
+
+resource_api::resource_api(asio::io_context &context,
+                           const entry_settings &settings,
+                           control_state &state,
+                           log_follower &follower,
+                           peer_exchange &exchange,
+                           trace_sink &traces)
+    : m_context(context)
+    , m_settings(settings)
+    , m_state(state)
+    , m_follower(follower)
+    , m_exchange(exchange)
+    , m_traces(traces)
+    , m_server(
+          context.get_executor(),
+          [this](http_request &request, http_session &) { return handle(request); },
+          server_options{{}, milliseconds(60'000), milliseconds(10'000), 1024, [](result_code code) {
+                             return errorResponse(code, "");
+                         }})
+{
+}
+
+result_code resource_api::start()
+{
+    return m_server.listen(m_settings.api);
+}
+
+asio::awaitable<http_response> resource_api::handle(const http_request &received)
+{
+    const api_request request(received);
+    const std::vector<std::string> &path = request.path;
+    if (path.size() == 1 && path[0] == "metrics") {
+        co_return makeResponse(statusOk, metrics(), "text/plain; version=0.0.4");
+    }
+    if (path.size() < 2 || path[0] != "v1") {
+        co_return errorResponse(result_code::resource_unknown, "no such path");
+    }
+    if (path.size() == 2 && path[1] == "status") {
+        co_return makeResponse(statusOk, status().dump());
+    }
+    if (path.size() == 2 && path[1] == "watch") {
+        co_return co_await watch(request);
+    }
+    if (path.size() == 3 && path[1] == "traces") {
+        co_return makeResponse(statusOk, m_traces.traceAsJson(path[2]));
+    }
+    if (path.size() == 3 && path[1] == "members" && request.method == http::verb::delete_) {
+        co_return co_await evict(path[2]);
+    }
+    co_return co_await handleResources(request);
+}
+
+asio::awaitable<http_response> resource_api::handleResources(const api_request &request)
+{
+    const auto kind = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<resource_kind>> {
+            BOOST_LEAF_AUTO(known, resourceKindFromPath(request.path[1]));
+            return known;
+        },
+        [] { return std::optional<resource_kind>(); });
+    if (!kind || request.path.size() > 3) {
+        co_return errorResponse(result_code::resource_unknown, "no such path");
+    }
+    if (request.path.size() == 2) {
+        if (request.method != http::verb::get) {
+            co_return errorResponse(result_code::method_unsupported, "a collection can only be read");
+        }
+        co_return list(*kind);
+    }
+    const resource_key key = {*kind, request.path[2]};
+    switch (request.method) {
+    case http::verb::get:
+        co_return get(key);
+    case http::verb::put:
+        co_return co_await put(request, key);
+    case http::verb::delete_:
+        co_return co_await remove(request, key);
+    default:
+        co_return errorResponse(result_code::method_unsupported, "use GET, PUT or DELETE");
+    }
+}
+
+asio::awaitable<http_response> resource_api::put(const api_request &request, resource_key key)
+{
+    std::string fault;
+    const json body = leaf::try_handle_all(
+        [&]() -> leaf::result<json> {
+            return normalizeResource(key.kind, key.name, json::parse(request.body, nullptr, false));
+        },
+        [&](const failure &error) {
+            fault = error.detail;
+            return json();
+        },
+        [&] {
+            fault = "invalid resource";
+            return json();
+        });
+    if (!fault.empty()) {
+        co_return errorResponse(result_code::resource_invalid, fault);
+    }
+    put_change action = {key, parseNumber(request.ifMatch), body};
+    if (!request.ifMatch.empty() && !action.expectedVersion) {
+        co_return errorResponse(result_code::resource_invalid, "If-Match must be a resource version");
+    }
+    const std::string id = request.changeId.empty() ? m_follower.newChangeId() : request.changeId;
+    change value = {id, std::move(action)};
+    co_return co_await submit(std::move(value));
+}
+
+asio::awaitable<http_response> resource_api::remove(const api_request &request, resource_key key)
+{
+    delete_change action = {key, parseNumber(request.ifMatch)};
+    if (!request.ifMatch.empty() && !action.expectedVersion) {
+        co_return errorResponse(result_code::resource_invalid, "If-Match must be a resource version");
+    }
+    const std::string id = request.changeId.empty() ? m_follower.newChangeId() : request.changeId;
+    change value = {id, std::move(action)};
+    co_return co_await submit(std::move(value));
+}
+
+asio::awaitable<http_response> resource_api::evict(std::string name)
+{
+    const auto found = m_state.config().members().find(name);
+    if (found == m_state.config().members().end()) {
+        co_return errorResponse(result_code::resource_unknown, "no such member");
+    }
+    leave_change action = {name, found->second.incarnation, m_state.config().membershipVersion()};
+    change value = {m_follower.newChangeId(), std::move(action)};
+    co_return co_await submit(std::move(value));
+}
+
+asio::awaitable<http_response> resource_api::submit(change value)
+{
+    const std::string id = value.id;
+    const time_point deadline = steady::now() + changeTimeout;
+    bool appended = false;
+    // The same change id makes a repeated append harmless when the answer to the first one was lost.
+    while (!appended && !m_state.config().resultOf(id) && steady::now() < deadline) {
+        const result_code code = co_await m_follower.append(value, std::min(deadline, steady::now() + appendTimeout));
+        appended = code == result_code::ok;
+        if (!appended) {
+            co_await awaitFold(id, std::min(deadline, steady::now() + appendTimeout));
+        }
+    }
+    co_await awaitFold(id, deadline);
+    const auto folded = m_state.config().resultOf(id);
+    if (!folded) {
+        log_line("change_unresolved").add("id", id).warn();
+        co_return errorResponse(result_code::change_pending, "the log service did not confirm change " + id);
+    }
+    if (folded->code != result_code::ok) {
+        co_return errorResponse(folded->code, folded->detail);
+    }
+    asio::steady_timer timer(m_context);
+    while (!m_state.peers().acceptedAt(folded->offset) && steady::now() < deadline) {
+        timer.expires_at(steady::now() + pendingPoll);
+        co_await timer.async_wait(asTuple);
+    }
+    const bool accepted = m_state.peers().acceptedAt(folded->offset).has_value();
+    const json body = {{"change_id", id},
+                       {"version", folded->offset},
+                       {"accepted", accepted},
+                       {"waiting_for", m_state.peers().waitingFor(folded->offset)}};
+    log_line("change_answered").add("id", id).add("offset", folded->offset).add("accepted", accepted ? 1 : 0).info();
+    co_return makeResponse(accepted ? statusOk : infoOf(result_code::change_pending).httpStatus, body.dump());
+}
+
+asio::awaitable<void> resource_api::awaitFold(const std::string &id, time_point deadline)
+{
+    asio::steady_timer timer(m_context);
+    while (!m_state.config().resultOf(id) && steady::now() < deadline) {
+        timer.expires_at(steady::now() + pendingPoll);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+asio::awaitable<http_response> resource_api::watch(const api_request &request)
+{
+    const log_offset from = request.queryNumber("from");
+    const milliseconds wait = std::min(milliseconds(request.queryNumber("wait_ms")), longestWatch);
+    const time_point deadline = steady::now() + wait;
+    asio::steady_timer timer(m_context);
+    while (m_state.config().applied() <= from && steady::now() < deadline) {
+        timer.expires_at(std::min(deadline, steady::now() + watchPoll));
+        co_await timer.async_wait(asTuple);
+    }
+    // Deleted resources are found by comparing "names" with what the watcher knows.
+    json changed = json::array();
+    json names = json::array();
+    for (const auto &[key, stored] : m_state.config().resources()) {
+        names.push_back(std::string(pathSegment(key.kind)) + "/" + key.name);
+        if (stored.version > from) {
+            changed.push_back(describe(key, stored));
+        }
+    }
+    const json body = {{"version", m_state.config().applied()}, {"changed", changed}, {"names", names}};
+    co_return makeResponse(statusOk, body.dump());
+}
+
+http_response resource_api::list(resource_kind kind) const
+{
+    json items = json::array();
+    for (const auto &[key, stored] : m_state.config().resources()) {
+        if (key.kind == kind) {
+            items.push_back(describe(key, stored));
+        }
+    }
+    return makeResponse(statusOk, json({{"version", m_state.config().applied()}, {"items", items}}).dump());
+}
+
+http_response resource_api::get(const resource_key &key) const
+{
+    const auto found = m_state.config().resources().find(key);
+    if (found == m_state.config().resources().end()) {
+        return errorResponse(result_code::resource_unknown, std::string(pathSegment(key.kind)) + "/" + key.name);
+    }
+    http_response response = makeResponse(statusOk, describe(key, found->second).dump());
+    response.set(http::field::etag, std::to_string(found->second.version));
+    return response;
+}
+
+json resource_api::describe(const resource_key &key, const stored_resource &stored) const
+{
+    json observed = json::object();
+    for (const auto &[name, member] : m_state.config().members()) {
+        observed[name] = m_state.peers().installedAt(name);
+    }
+    return {{"kind", pathSegment(key.kind)},
+            {"name", key.name},
+            {"version", stored.version},
+            {"generation", stored.generation},
+            {"spec", stored.body},
+            {"status", {{"observed", observed}, {"conditions", conditionsOf(key, stored)}}}};
+}
+
+json resource_api::conditionsOf(const resource_key &key, const stored_resource &stored) const
+{
+    const peer_table &peers = m_state.peers();
+    const bool accepted = peers.acceptedAt(stored.version).has_value();
+    const bool inForce = peers.inForceOffset(steady::now()) >= stored.version;
+    const auto waiting = peers.waitingFor(stored.version);
+    json conditions = json::array();
+    conditions.push_back(condition("accepted",
+                                   accepted,
+                                   accepted ? "installed by a majority of the entries" : "waiting for a majority",
+                                   accepted ? std::vector<std::string>() : waiting));
+    conditions.push_back(
+        condition("in_force_everywhere",
+                  inForce,
+                  waiting.empty() ? "installed by all entries" : "waiting for entries, or for their leases",
+                  inForce ? std::vector<std::string>() : waiting));
+    if (key.kind != resource_kind::backend) {
+        return conditions;
+    }
+    const auto leaving = m_state.leavingBackends();
+    const auto source = leaving.find(key.name);
+    const bool byOperator = stored.body.value("draining", false);
+    const bool draining = byOperator || source != leaving.end();
+    conditions.push_back(
+        condition("draining", draining, byOperator ? "operator" : (draining ? source->second : "not draining"), {}));
+    if (byOperator) {
+        const auto holders = m_state.drainWaitsFor(key.name, stored.version);
+        conditions.push_back(condition("drained",
+                                       holders.empty(),
+                                       holders.empty() ? "no entry can hold a request" : "entries may hold requests",
+                                       holders));
+    }
+    return conditions;
+}
+
+json resource_api::status() const
+{
+    const time_point now = steady::now();
+    json members = json::array();
+    for (const auto &[name, member] : m_state.config().members()) {
+        const peer_state *const peer = m_state.peers().peer(name);
+        const double silentMs = peer == nullptr ? -1.0 : toMilliseconds(now - peer->heardAt);
+        members.push_back({{"name", name},
+                           {"zone", member.zone},
+                           {"traffic", toString(member.traffic)},
+                           {"api", toString(member.api)},
+                           {"installed", m_state.peers().installedAt(name)},
+                           {"silent_ms", name == m_state.self().name ? 0.0 : silentMs}});
+    }
+    json backends = json::array();
+    for (const backend_status &backend : m_state.report().backends) {
+        backends.push_back({{"name", backend.name},
+                            {"service", backend.service},
+                            {"in_flight", backend.inFlight},
+                            {"state", backend.state},
+                            {"failure_streak", backend.failureStreak}});
+    }
+    const double freshMs = std::clamp(toMilliseconds(m_state.peers().freshUntil() - now), -1e9, 1e9);
+    return {{"entry", m_state.self().name},
+            {"member", m_state.isMember()},
+            {"applied", m_state.config().applied()},
+            {"installed", m_state.report().installed},
+            {"accepted", m_state.peers().acceptedOffset()},
+            {"in_force", m_state.peers().inForceOffset(now)},
+            {"lease_left_ms", freshMs},
+            {"store_reachable", m_state.isStoreReachable()},
+            {"requests_in_flight", m_state.report().requestsInFlight},
+            {"leaving", m_state.isLeaving()},
+            {"members", members},
+            {"backends", backends},
+            {"leaving_backends", m_state.leavingBackends()}};
+}
+
+std::string resource_api::metrics() const
+{
+    std::string text = m_state.report().metrics;
+    const double leaseSeconds
+        = std::clamp(toMilliseconds(m_state.peers().freshUntil() - steady::now()) / 1e3, -1e6, 1e6);
+    appendMetric(text, "config_offset", "", static_cast<double>(m_state.config().applied()));
+    appendMetric(text, "config_lease_seconds", "", leaseSeconds);
+    appendMetric(text, "store_reachable", "", m_state.isStoreReachable() ? 1 : 0);
+    appendMetric(text, "peer_bytes_total", "", static_cast<double>(m_exchange.bytes()));
+    appendMetric(text, "process_cpu_seconds_total", "", processSeconds());
+    return text;
+}
+
+}
--- /dev/null
+++ b/daemon/resourceapi.h
@@ -0,0 +1,65 @@
+/**
+ * @file
+ * The resource API, the status answers and the metrics over HTTP.
+ */
+#pragma once
+
+#include "controlstate.h"
+#include "logfollower.h"
+#include "peerexchange.h"
+#include "tracesink.h"
+
+#include "cardamomdeck/http/httpserver.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** Serves operators at any entry. */
+class resource_api
+{
+public:
+    /** An API over @p state; changes are appended through @p follower. */
+    resource_api(boost::asio::io_context &context,
+                 const entry_settings &settings,
+                 control_state &state,
+                 log_follower &follower,
+                 peer_exchange &exchange,
+                 trace_sink &traces);
+
+    /** Binds the API port. Errors: port_in_use. */
+    result_code start();
+
+private:
+    struct api_request;
+
+    boost::asio::awaitable<http_response> handle(const http_request &request);
+    boost::asio::awaitable<http_response> handleResources(const api_request &request);
+    boost::asio::awaitable<http_response> put(const api_request &request, resource_key key);
+    boost::asio::awaitable<http_response> remove(const api_request &request, resource_key key);
+    boost::asio::awaitable<http_response> submit(change value);
+    boost::asio::awaitable<http_response> evict(std::string name);
+    boost::asio::awaitable<void> awaitFold(const std::string &id, time_point deadline);
+    boost::asio::awaitable<http_response> watch(const api_request &request);
+    http_response list(resource_kind kind) const;
+    http_response get(const resource_key &key) const;
+    nlohmann::json describe(const resource_key &key, const stored_resource &stored) const;
+    nlohmann::json conditionsOf(const resource_key &key, const stored_resource &stored) const;
+    nlohmann::json status() const;
+    std::string metrics() const;
+
+    boost::asio::io_context &m_context;
+    const entry_settings &m_settings;
+    control_state &m_state;
+    log_follower &m_follower;
+    peer_exchange &m_exchange;
+    trace_sink &m_traces;
+    http_server m_server;
+};
+
+}
--- /dev/null
+++ b/libs/base/include/cardamomdeck/base/environment.h
@@ -0,0 +1,19 @@
+/**
+ * @file
+ * Reads flag values from environment variables.
+ */
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/**
+ * Sets each Abseil flag named in @p flags from the variable "<prefix><FLAG>",
+ * where it exists. Call it before the command line is parsed, so that flags
+ * win. Returns one message for each value that cannot be parsed.
+ */
+std::vector<std::string> applyEnvironment(const std::string &prefix, const std::vector<std::string> &flags);
+
+}
--- /dev/null
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -0,0 +1,86 @@
+/**
+ * @file
+ * Client side of one HTTP/1.1 connection.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/base/socketaddress.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace cardamomdeck {
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http_response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/** Size limits of one message, in bytes. */
+struct message_limits
+{
+    std::uint32_t headBytes = 16U * 1024U;
+    std::uint64_t bodyBytes = 1024U * 1024U;
+};
+
+/** How an exchange ended. */
+struct exchange_result
+{
+    result_code code = result_code::ok;
+    /** False only when no byte of the request can have left this process. */
+    bool bytesSent = false;
+    /** Valid when the code is ok. */
+    http_response response;
+};
+
+/**
+ * One connection that carries one exchange at a time. After an exchange that
+ * did not end cleanly, the connection is closed and never carries another, so
+ * that a late answer cannot reach the wrong caller.
+ */
+class http_connection
+{
+public:
+    /** An unconnected connection on @p executor. */
+    explicit http_connection(const boost::asio::any_io_executor &executor);
+    ~http_connection();
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+
+    /** Connects to @p address. Errors: connect_failed, deadline_unreachable. */
+    boost::asio::awaitable<result_code> connect(socket_address address, time_point deadline);
+
+    /**
+     * Sends @p request and receives the whole answer.
+     * Errors: deadline_passed, answer_cut, answer_malformed, answer_too_large,
+     * connection_lost.
+     */
+    boost::asio::awaitable<exchange_result> exchange(http_request request, message_limits limits, time_point deadline);
+
+    /** True when the connection is open, between exchanges, and has received nothing unasked for. */
+    bool isReusable();
+
+    /** When the other end last proved alive, by accepting the connection or by a whole answer. */
+    time_point lastProof() const;
+
+    /** Closes the connection at once; an exchange in progress ends with connection_lost. */
+    void close();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+/** Connects, sends @p request once and closes. Errors: as connect() and exchange(). */
+boost::asio::awaitable<exchange_result>
+exchangeOnce(socket_address address, http_request request, message_limits limits, time_point deadline);
+
+/** Removes the headers that belong to one connection only. */
+void removeHopByHopHeaders(boost::beast::http::fields &headers);
+
+}
--- /dev/null
+++ b/libs/http/include/cardamomdeck/http/httpserver.h
@@ -0,0 +1,76 @@
+/**
+ * @file
+ * HTTP/1.1 server that hands whole requests to a coroutine.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/base/socketaddress.h"
+#include "cardamomdeck/http/httpconnection.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace cardamomdeck {
+
+/** What a handler can ask of, and tell to, the connection that carries its request. */
+class http_session
+{
+public:
+    virtual ~http_session() = default;
+
+    /** Calls @p notify once if the caller closes its connection before the handler returns. */
+    virtual void watchCaller(std::function<void()> notify) = 0;
+
+    /** Closes the connection instead of writing an answer. */
+    virtual void abandon() = 0;
+};
+
+/** Limits and hooks of a server. */
+struct server_options
+{
+    message_limits limits;
+    /** Longest time between two requests of a connection, and for reading or writing one message. */
+    milliseconds idleTimeout{60'000};
+    milliseconds messageTimeout{10'000};
+    std::size_t maxConnections = 16'384;
+    /** Builds the answer to a request that could not be read. */
+    std::function<http_response(result_code)> rejection;
+};
+
+/** Accepts connections and serves each with a coroutine on one executor. */
+class http_server
+{
+public:
+    using handler = std::function<boost::asio::awaitable<http_response>(http_request &, http_session &)>;
+
+    /** A server whose handler is @p handle. */
+    http_server(boost::asio::any_io_executor executor, handler handle, server_options options);
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    /** Binds @p address and starts to accept. Errors: port_in_use. */
+    result_code listen(const socket_address &address);
+
+    /** Stops accepting, and closes each connection after the answer that it is waiting for. */
+    void stopGracefully();
+
+    /** Connections that are open now. */
+    std::size_t connectionCount() const;
+
+private:
+    struct state;
+    class connection;
+    std::shared_ptr<state> m_state;
+};
+
+/** An answer with a body of @p contentType. */
+http_response makeResponse(unsigned status, std::string body, const char *contentType = "application/json");
+
+}
--- /dev/null
+++ b/libs/http/src/httpconnection.cpp
@@ -0,0 +1,205 @@
+#include "cardamomdeck/http/httpconnection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+using response_parser = http::response_parser<http::string_body>;
+
+result_code codeOfReadError(const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return result_code::deadline_passed;
+    }
+    if (error == http::error::partial_message || error == http::error::end_of_stream) {
+        return result_code::answer_cut;
+    }
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow) {
+        return result_code::answer_too_large;
+    }
+    if (error.category() == make_error_code(http::error::bad_version).category()) {
+        return result_code::answer_malformed;
+    }
+    return result_code::connection_lost;
+}
+
+bool isInterim(const response_parser &parser)
+{
+    const unsigned status = parser.get().result_int();
+    return status >= 100 && status < 200;
+}
+
+}
+
+struct http_connection::state
+{
+    explicit state(const asio::any_io_executor &executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    time_point lastProof;
+    bool open = false;
+    bool busy = false;
+};
+
+http_connection::http_connection(const asio::any_io_executor &executor)
+    : m_state(std::make_unique<state>(executor))
+{
+}
+
+http_connection::~http_connection() = default;
+
+asio::awaitable<result_code> http_connection::connect(socket_address address, time_point deadline)
+{
+    beast::error_code addressError;
+    const auto host = asio::ip::make_address(address.host, addressError);
+    if (addressError) {
+        co_return result_code::connect_failed;
+    }
+    m_state->stream.expires_at(deadline);
+    const tcp::endpoint endpoint(host, address.port);
+    const auto [error] = co_await m_state->stream.async_connect(endpoint, asTuple);
+    if (error) {
+        close();
+        co_return error == beast::error::timeout ? result_code::deadline_unreachable : result_code::connect_failed;
+    }
+    beast::error_code ignored;
+    m_state->stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_state->open = true;
+    m_state->lastProof = steady::now();
+    co_return result_code::ok;
+}
+
+asio::awaitable<exchange_result>
+http_connection::exchange(http_request request, message_limits limits, time_point deadline)
+{
+    exchange_result result;
+    m_state->busy = true;
+    m_state->stream.expires_at(deadline);
+    result.bytesSent = true;
+    const auto [writeError, written] = co_await http::async_write(m_state->stream, request, asTuple);
+    if (writeError) {
+        result.bytesSent = written > 0 || writeError == beast::error::timeout;
+        result.code = writeError == beast::error::timeout ? result_code::deadline_passed : result_code::connection_lost;
+        close();
+        co_return result;
+    }
+    for (;;) {
+        response_parser parser;
+        parser.header_limit(limits.headBytes);
+        parser.body_limit(limits.bodyBytes);
+        parser.skip(request.method() == http::verb::head);
+        const auto [readError, received] = co_await http::async_read(m_state->stream, m_state->buffer, parser, asTuple);
+        if (readError) {
+            result.code = codeOfReadError(readError);
+            close();
+            co_return result;
+        }
+        if (isInterim(parser)) {
+            continue;
+        }
+        if (parser.need_eof() && !parser.get().body().empty()) {
+            // The end of such a body cannot be told from a cut.
+            result.code = result_code::answer_malformed;
+            close();
+            co_return result;
+        }
+        const bool keepAlive = parser.keep_alive();
+        result.response = parser.release();
+        m_state->lastProof = steady::now();
+        m_state->busy = false;
+        if (!keepAlive || m_state->buffer.size() > 0) {
+            close();
+        }
+        co_return result;
+    }
+}
+
+bool http_connection::isReusable()
+{
+    if (!m_state->open || m_state->busy || m_state->buffer.size() > 0) {
+        return false;
+    }
+    beast::error_code error;
+    tcp::socket &socket = m_state->stream.socket();
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == asio::error::would_block) {
+        return true;
+    }
+    close();
+    return false;
+}
+
+time_point http_connection::lastProof() const
+{
+    return m_state->lastProof;
+}
+
+void http_connection::close()
+{
+    m_state->open = false;
+    beast::error_code ignored;
+    m_state->stream.socket().close(ignored);
+}
+
+asio::awaitable<exchange_result>
+exchangeOnce(socket_address address, http_request request, message_limits limits, time_point deadline)
+{
+    http_connection connection(co_await asio::this_coro::executor);
+    exchange_result result;
+    result.code = co_await connection.connect(std::move(address), deadline);
+    if (result.code != result_code::ok) {
+        co_return result;
+    }
+    co_return co_await connection.exchange(std::move(request), limits, deadline);
+}
+
+void removeHopByHopHeaders(http::fields &headers)
+{
+    std::vector<std::string> named;
+    for (const auto &token : http::token_list(headers[http::field::connection])) {
+        named.emplace_back(token);
+    }
+    for (const std::string &name : named) {
+        headers.erase(name);
+    }
+    for (const http::field field : {http::field::connection,
+                                    http::field::keep_alive,
+                                    http::field::proxy_authenticate,
+                                    http::field::proxy_authorization,
+                                    http::field::proxy_connection,
+                                    http::field::te,
+                                    http::field::trailer,
+                                    http::field::transfer_encoding,
+                                    http::field::upgrade}) {
+        headers.erase(field);
+    }
+}
+
+}
--- /dev/null
+++ b/libs/membership/src/addressanswer.cpp
@@ -0,0 +1,77 @@
+#include "cardamomdeck/membership/addressanswer.h"
+
+#include <boost/container_hash/hash.hpp>
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+namespace {
+
+struct ranked_member
+{
+    std::uint64_t score;
+    const entry_member *member;
+};
+
+/** Finalizer that spreads the bits of a weak hash. */
+std::uint64_t spreadBits(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    value ^= value >> 33U;
+    return value;
+}
+
+std::uint64_t scoreOf(const std::string &member, const std::string &caller)
+{
+    std::size_t seed = 0;
+    boost::hash_combine(seed, caller);
+    boost::hash_combine(seed, member);
+    return spreadBits(seed);
+}
+
+std::vector<ranked_member> rankMembers(const std::map<std::string, entry_member> &members,
+                                       const std::set<std::string> &unusable,
+                                       const std::string &caller)
+{
+    std::vector<ranked_member> ranked;
+    for (const auto &[name, member] : members) {
+        if (!unusable.contains(name)) {
+            ranked.push_back({scoreOf(name, caller), &member});
+        }
+    }
+    std::ranges::sort(ranked, std::greater(), &ranked_member::score);
+    return ranked;
+}
+
+}
+
+std::vector<entry_member> chooseAddresses(const std::map<std::string, entry_member> &members,
+                                          const std::set<std::string> &unusable,
+                                          const std::string &caller)
+{
+    std::vector<ranked_member> ranked = rankMembers(members, unusable, caller);
+    if (ranked.empty()) {
+        ranked = rankMembers(members, {}, caller);
+    }
+    std::vector<entry_member> chosen;
+    std::vector<entry_member> sameZone;
+    std::set<std::string> zones;
+    for (const ranked_member &candidate : ranked) {
+        if (zones.insert(candidate.member->zone).second) {
+            chosen.push_back(*candidate.member);
+        } else {
+            sameZone.push_back(*candidate.member);
+        }
+    }
+    chosen.insert(chosen.end(), sameZone.begin(), sameZone.end());
+    if (chosen.size() > addressesInAnswer) {
+        chosen.resize(addressesInAnswer);
+    }
+    return chosen;
+}
+
+}
--- /dev/null
+++ b/libs/membership/src/peermessage.cpp
@@ -0,0 +1,148 @@
+#include "cardamomdeck/membership/peermessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cardamomdeck {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+constexpr int messageVersion = 1;
+
+/** Deepest nesting of a valid message; deeper input would recurse in the decoder. */
+constexpr int deepestNesting = 3;
+
+/** Accepts any value up to a nesting depth. */
+class depth_check : public nlohmann::json_sax<json>
+{
+public:
+    bool null() override
+    {
+        return true;
+    }
+    bool boolean(bool /*value*/) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t /*value*/) override // NOLINT(readability-identifier-naming)
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t /*value*/) override // NOLINT(readability-identifier-naming)
+    {
+        return true;
+    }
+    bool number_float(number_float_t /*value*/,
+                      const string_t & /*text*/) override // NOLINT(readability-identifier-naming)
+    {
+        return true;
+    }
+    bool string(string_t & /*value*/) override
+    {
+        return true;
+    }
+    bool binary(binary_t & /*value*/) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t /*size*/) override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+    bool key(string_t & /*value*/) override
+    {
+        return false;
+    }
+    bool end_object() override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+    bool start_array(std::size_t /*size*/) override // NOLINT(readability-identifier-naming)
+    {
+        return ++m_depth <= deepestNesting;
+    }
+    bool end_array() override // NOLINT(readability-identifier-naming)
+    {
+        --m_depth;
+        return true;
+    }
+    bool parse_error(std::size_t /*position*/,
+                     const std::string & /*token*/,
+                     const json::exception & /*error*/) override // NOLINT(readability-identifier-naming)
+    {
+        return false;
+    }
+
+private:
+    int m_depth = 0;
+};
+
+}
+
+std::string encodePeerMessage(const peer_message &message)
+{
+    json held = json::array();
+    for (const held_requests &item : message.held) {
+        held.push_back({item.backend, item.count});
+    }
+    json signs = json::array();
+    for (const leaving_sign &item : message.signs) {
+        signs.push_back({item.backend, item.resourceVersion});
+    }
+    json records = json::array();
+    for (const log_record &record : message.records) {
+        records.push_back({record.offset, record.data});
+    }
+    const json array = json::array({messageVersion,
+                                    message.entry,
+                                    message.incarnation,
+                                    message.applied,
+                                    message.installed,
+                                    message.leaving,
+                                    message.guests,
+                                    held,
+                                    signs,
+                                    message.snapshot,
+                                    records});
+    std::string bytes;
+    json::to_msgpack(array, bytes);
+    return bytes;
+}
+
+leaf::result<peer_message> decodePeerMessage(const std::string &bytes)
+{
+    depth_check check;
+    if (!json::sax_parse(bytes, &check, json::input_format_t::msgpack)) {
+        return leaf::new_error(failure{result_code::frame_malformed, "not a MessagePack array"});
+    }
+    try {
+        const json array = json::from_msgpack(bytes);
+        if (array.at(0).get<int>() != messageVersion) {
+            return leaf::new_error(failure{result_code::frame_malformed, "unsupported message version"});
+        }
+        peer_message message;
+        message.entry = array.at(1).get<std::string>();
+        message.incarnation = array.at(2).get<std::uint64_t>();
+        message.applied = array.at(3).get<log_offset>();
+        message.installed = array.at(4).get<log_offset>();
+        message.leaving = array.at(5).get<bool>();
+        message.guests = array.at(6).get<bool>();
+        for (const json &item : array.at(7)) {
+            message.held.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()});
+        }
+        for (const json &item : array.at(8)) {
+            message.signs.push_back({item.at(0).get<std::string>(), item.at(1).get<log_offset>()});
+        }
+        message.snapshot = array.at(9).get<std::string>();
+        for (const json &item : array.at(10)) {
+            message.records.push_back({item.at(0).get<log_offset>(), item.at(1).get<std::string>()});
+        }
+        return message;
+    } catch (const json::exception &error) {
+        return leaf::new_error(failure{result_code::frame_malformed, error.what()});
+    }
+}
+
+}
--- /dev/null
+++ b/libs/membership/src/peertable.cpp
@@ -0,0 +1,259 @@
+#include "cardamomdeck/membership/peertable.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace cardamomdeck {
+
+namespace {
+
+/** Acceptance times that are remembered. */
+constexpr std::size_t rememberedAcceptances = 1024;
+
+}
+
+peer_table::peer_table(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+void peer_table::setMembers(const std::map<std::string, entry_member> &members,
+                            log_offset membershipVersion,
+                            time_point now)
+{
+    if (membershipVersion == m_membershipVersion) {
+        return;
+    }
+    for (const auto &[name, member] : members) {
+        const auto before = m_members.find(name);
+        const bool replaced = before != m_members.end() && before->second.incarnation != member.incarnation;
+        if (replaced && name != m_self) {
+            m_installed.erase(name);
+            m_peers.erase(name);
+        }
+    }
+    m_members = members;
+    m_membershipVersion = membershipVersion;
+    m_membershipChangedAt = now;
+    std::erase_if(m_peers, [&](const auto &item) { return !m_members.contains(item.first); });
+    std::erase_if(m_installed,
+                  [&](const auto &item) { return !m_members.contains(item.first) && item.first != m_self; });
+    noteAcceptance(now);
+}
+
+void peer_table::setInstalled(log_offset installed, time_point now)
+{
+    log_offset &own = m_installed[m_self];
+    own = std::max(own, installed);
+    noteAcceptance(now);
+}
+
+void peer_table::confirmedByStore(time_point asOf)
+{
+    m_storeConfirmed = m_storeConfirmed ? std::max(*m_storeConfirmed, asOf) : asOf;
+}
+
+void peer_table::heard(const peer_message &message, bool complete, time_point asOf, time_point now)
+{
+    const auto member = m_members.find(message.entry);
+    if (member == m_members.end() || member->second.incarnation != message.incarnation) {
+        return;
+    }
+    log_offset &installed = m_installed[message.entry];
+    installed = std::max(installed, message.installed);
+    const auto known = m_peers.find(message.entry);
+    const bool newer = known == m_peers.end() || known->second.heardAt <= asOf;
+    if (newer && complete) {
+        m_peers[message.entry] = {asOf, message};
+        m_peers[message.entry].message.records.clear();
+        m_peers[message.entry].message.snapshot.clear();
+    }
+    noteAcceptance(now);
+}
+
+time_point peer_table::freshUntil() const
+{
+    time_point confirmed = time_point::min() + viewLease;
+    if (m_storeConfirmed) {
+        confirmed = std::max(confirmed, *m_storeConfirmed + viewLease);
+    }
+    if (const auto heardAt = majorityHeardAt()) {
+        confirmed = std::max(confirmed, *heardAt + viewLease);
+    }
+    return confirmed;
+}
+
+log_offset peer_table::acceptedOffset() const
+{
+    return m_acceptances.empty() ? 0 : m_acceptances.back().offset;
+}
+
+log_offset peer_table::inForceOffset(time_point now) const
+{
+    log_offset everywhere = m_members.empty() ? 0 : acceptedOffset();
+    for (const auto &[name, member] : m_members) {
+        everywhere = std::min(everywhere, installedAt(name));
+    }
+    for (const acceptance &item : m_acceptances) {
+        if (item.at + viewLease <= now) {
+            everywhere = std::max(everywhere, item.offset);
+        }
+    }
+    return everywhere;
+}
+
+std::vector<std::string> peer_table::waitingFor(log_offset offset) const
+{
+    std::vector<std::string> waiting;
+    for (const auto &[name, member] : m_members) {
+        if (installedAt(name) < offset) {
+            waiting.push_back(name);
+        }
+    }
+    return waiting;
+}
+
+std::optional<time_point> peer_table::acceptedAt(log_offset offset) const
+{
+    for (const acceptance &item : m_acceptances) {
+        if (item.offset >= offset) {
+            return item.at;
+        }
+    }
+    return std::nullopt;
+}
+
+log_offset peer_table::installedAt(const std::string &name) const
+{
+    const auto found = m_installed.find(name);
+    return found == m_installed.end() ? 0 : found->second;
+}
+
+std::vector<std::string> peer_table::silentSince(time_point since) const
+{
+    std::vector<std::string> silent;
+    for (const auto &[name, member] : m_members) {
+        const peer_state *const state = peer(name);
+        if (name != m_self && (state == nullptr || state->heardAt < since)) {
+            silent.push_back(name);
+        }
+    }
+    return silent;
+}
+
+bool peer_table::majorityHeardSince(time_point since) const
+{
+    const auto heardAt = majorityHeardAt();
+    return heardAt && *heardAt >= since;
+}
+
+std::set<std::string> peer_table::leavingEntries() const
+{
+    std::set<std::string> leaving;
+    for (const auto &[name, state] : m_peers) {
+        if (state.message.leaving) {
+            leaving.insert(name);
+        }
+    }
+    return leaving;
+}
+
+std::set<leaving_sign> peer_table::leavingSigns() const
+{
+    std::set<leaving_sign> signs;
+    for (const auto &[name, state] : m_peers) {
+        signs.insert(state.message.signs.begin(), state.message.signs.end());
+    }
+    return signs;
+}
+
+std::vector<std::string> peer_table::holdersOf(const std::string &backend, log_offset offset) const
+{
+    std::vector<std::string> holders;
+    for (const auto &[name, member] : m_members) {
+        if (name == m_self) {
+            continue;
+        }
+        const peer_state *const state = peer(name);
+        if (state == nullptr || state->message.installed < offset) {
+            holders.push_back(name);
+            continue;
+        }
+        const auto holds = [&](const held_requests &item) {
+            return item.backend == backend && item.count > 0;
+        };
+        if (std::ranges::any_of(state->message.held, holds)) {
+            holders.push_back(name);
+        }
+    }
+    return holders;
+}
+
+bool peer_table::anyGuests() const
+{
+    return std::ranges::any_of(m_peers, [](const auto &item) { return item.second.message.guests; });
+}
+
+time_point peer_table::membershipChangedAt() const
+{
+    return m_membershipChangedAt;
+}
+
+const peer_state *peer_table::peer(const std::string &name) const
+{
+    const auto found = m_peers.find(name);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+std::size_t peer_table::majoritySize() const
+{
+    return m_members.size() / 2 + 1;
+}
+
+bool peer_table::isMember(const std::string &name) const
+{
+    return m_members.contains(name);
+}
+
+std::optional<time_point> peer_table::majorityHeardAt() const
+{
+    if (m_members.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t othersNeeded = majoritySize() - (isMember(m_self) ? 1 : 0);
+    if (othersNeeded == 0) {
+        // A single member is its own majority; only it can accept a change.
+        return steady::time_point::max() - viewLease;
+    }
+    std::vector<time_point> heardTimes;
+    for (const auto &[name, state] : m_peers) {
+        heardTimes.push_back(state.heardAt);
+    }
+    if (heardTimes.size() < othersNeeded) {
+        return std::nullopt;
+    }
+    std::ranges::sort(heardTimes, std::greater());
+    return heardTimes[othersNeeded - 1];
+}
+
+void peer_table::noteAcceptance(time_point now)
+{
+    if (m_members.empty()) {
+        return;
+    }
+    std::vector<log_offset> offsets;
+    for (const auto &[name, member] : m_members) {
+        offsets.push_back(installedAt(name));
+    }
+    std::ranges::sort(offsets, std::greater());
+    const log_offset accepted = offsets[majoritySize() - 1];
+    if (accepted <= acceptedOffset()) {
+        return;
+    }
+    m_acceptances.push_back({accepted, now});
+    if (m_acceptances.size() > rememberedAcceptances) {
+        m_acceptances.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/libs/model/src/resource.cpp
@@ -0,0 +1,153 @@
+#include "cardamomdeck/model/resource.h"
+
+#include "private/fieldreader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace cardamomdeck {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::array<std::string_view, 3> kindSegments = {"services", "backends", "rules"};
+
+constexpr std::array<std::string_view, 4> strategyNameList = {"load_aware", "least_in_flight", "round_robin", "random"};
+
+constexpr std::int64_t longestTimeoutMs = 600'000;
+constexpr std::int64_t largestCount = 1'000'000;
+constexpr std::int64_t largestBodyBytes = 64 * 1024 * 1024;
+constexpr std::int64_t largestPercent = 100;
+constexpr std::int64_t largestZonePenaltyUs = 1'000'000;
+
+}
+
+std::string_view pathSegment(resource_kind kind)
+{
+    return kindSegments[static_cast<std::size_t>(kind)];
+}
+
+leaf::result<resource_kind> resourceKindFromPath(std::string_view segment)
+{
+    for (std::size_t i = 0; i < kindSegments.size(); ++i) {
+        if (kindSegments[i] == segment) {
+            return static_cast<resource_kind>(i);
+        }
+    }
+    return leaf::new_error(failure{result_code::resource_invalid, "unknown resource kind: " + std::string(segment)});
+}
+
+leaf::result<service_spec> serviceFromJson(const nlohmann::json &body)
+{
+    service_spec service;
+    field_reader reader(body);
+    reader.readName("name", service.name);
+    reader.readChoice("strategy", service.strategy, strategyNameList);
+    reader.readDuration("timeout_ms", service.timeout, 1, longestTimeoutMs);
+    reader.readCount("max_in_flight", service.maxInFlight, 1, largestCount);
+    reader.readCount("slots_per_backend", service.slotsPerBackend, 1, largestCount);
+    reader.readCount("connections_per_backend", service.connectionsPerBackend, 1, largestCount);
+    reader.readCount("probes_per_ten_seconds", service.probesPerTenSeconds, 0, largestCount);
+    reader.readCount("entry_ceiling", service.entryCeiling, 1, largestCount);
+    reader.readOptionalPath("probe_path", service.probePath);
+    reader.readDuration("probe_age_ms", service.probeAge, 0, longestTimeoutMs);
+    reader.readCount("retry_percent", service.retryPercent, 0, largestPercent);
+    reader.readCount("hedge_percent", service.hedgePercent, 0, largestPercent);
+    reader.readDuration("zone_penalty_us", service.zonePenalty, 0, largestZonePenaltyUs);
+    reader.readCount("max_body_bytes", service.maxBodyBytes, 0, largestBodyBytes);
+    reader.readDuration("proof_of_life_ms", service.proofOfLife, 0, longestTimeoutMs);
+    BOOST_LEAF_CHECK(reader.finish());
+    return service;
+}
+
+leaf::result<backend_spec> backendFromJson(const nlohmann::json &body)
+{
+    backend_spec backend;
+    field_reader reader(body);
+    reader.readName("name", backend.name);
+    reader.readName("service", backend.service);
+    reader.readAddress("address", backend.address);
+    reader.readName("zone", backend.zone);
+    reader.readFlag("draining", backend.draining);
+    BOOST_LEAF_CHECK(reader.finish());
+    return backend;
+}
+
+leaf::result<rule_spec> ruleFromJson(const nlohmann::json &body)
+{
+    rule_spec rule;
+    field_reader reader(body);
+    reader.readName("name", rule.name);
+    reader.readPath("path_prefix", rule.pathPrefix);
+    reader.readName("service", rule.service);
+    reader.readMethods("idempotent_methods", rule.idempotentMethods);
+    BOOST_LEAF_CHECK(reader.finish());
+    return rule;
+}
+
+nlohmann::json toJson(const service_spec &service)
+{
+    return {{"name", service.name},
+            {"strategy", service.strategy},
+            {"timeout_ms", service.timeout.count()},
+            {"max_in_flight", service.maxInFlight},
+            {"slots_per_backend", service.slotsPerBackend},
+            {"connections_per_backend", service.connectionsPerBackend},
+            {"probes_per_ten_seconds", service.probesPerTenSeconds},
+            {"entry_ceiling", service.entryCeiling},
+            {"probe_path", service.probePath},
+            {"probe_age_ms", service.probeAge.count()},
+            {"retry_percent", service.retryPercent},
+            {"hedge_percent", service.hedgePercent},
+            {"zone_penalty_us", service.zonePenalty.count()},
+            {"max_body_bytes", service.maxBodyBytes},
+            {"proof_of_life_ms", service.proofOfLife.count()}};
+}
+
+nlohmann::json toJson(const backend_spec &backend)
+{
+    return {{"name", backend.name},
+            {"service", backend.service},
+            {"address", toString(backend.address)},
+            {"zone", backend.zone},
+            {"draining", backend.draining}};
+}
+
+nlohmann::json toJson(const rule_spec &rule)
+{
+    return {{"name", rule.name},
+            {"path_prefix", rule.pathPrefix},
+            {"service", rule.service},
+            {"idempotent_methods", rule.idempotentMethods}};
+}
+
+leaf::result<nlohmann::json> normalizeResource(resource_kind kind, const std::string &name, const nlohmann::json &body)
+{
+    if (!body.is_object()) {
+        return leaf::new_error(failure{result_code::resource_invalid, "body is not a JSON object"});
+    }
+    nlohmann::json named = body;
+    if (named.contains("name") && named["name"] != name) {
+        return leaf::new_error(failure{result_code::resource_invalid, "name differs from the path"});
+    }
+    named["name"] = name;
+    switch (kind) {
+    case resource_kind::service: {
+        BOOST_LEAF_AUTO(service, serviceFromJson(named));
+        return toJson(service);
+    }
+    case resource_kind::backend: {
+        BOOST_LEAF_AUTO(backend, backendFromJson(named));
+        return toJson(backend);
+    }
+    case resource_kind::rule: {
+        BOOST_LEAF_AUTO(rule, ruleFromJson(named));
+        return toJson(rule);
+    }
+    }
+    return leaf::new_error(failure{result_code::resource_invalid, "unknown resource kind"});
+}
+
+}
--- /dev/null
+++ b/libs/routing/src/backendstats.cpp
@@ -0,0 +1,186 @@
+#include "cardamomdeck/routing/backendstats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomdeck {
+
+namespace {
+
+/** Time constant with which a latency estimate falls, in milliseconds. */
+constexpr double latencyDecayMs = 100.0;
+
+/** Time constant with which belief in a load report fades, in milliseconds. */
+constexpr double reportDecayMs = 20.0;
+
+/** Successes after which a back end counts as warm. */
+constexpr std::uint32_t warmSuccesses = 16;
+
+/** Cost factor of a back end that has not served anything yet. */
+constexpr double coldestFactor = 3.0;
+
+}
+
+backend_stats::backend_stats(backend_spec backend, bool crossZone, time_point now)
+    : m_spec(std::move(backend))
+    , m_crossZone(crossZone)
+    , m_ejectedUntil(now)
+{
+}
+
+const backend_spec &backend_stats::spec() const
+{
+    return m_spec;
+}
+
+void backend_stats::reconfigure(backend_spec backend, bool crossZone, time_point now)
+{
+    if (backend.address != m_spec.address) {
+        m_latencyAt.reset();
+        m_loadAt.reset();
+        m_successes = 0;
+        m_failureStreak = 0;
+        m_ejections = 0;
+        m_ejectedUntil = now;
+    }
+    m_spec = std::move(backend);
+    m_crossZone = crossZone;
+}
+
+void backend_stats::started(time_point now)
+{
+    m_starts.push_back(now);
+}
+
+void backend_stats::finished(const attempt_report &report)
+{
+    const auto start = std::ranges::find(m_starts, report.started);
+    if (start != m_starts.end()) {
+        m_starts.erase(start);
+    }
+    if (report.reportedLoad) {
+        reported(*report.reportedLoad, report.finished);
+    }
+    switch (report.kind) {
+    case attempt_class::success:
+        noteSuccess(report);
+        return;
+    case attempt_class::refused:
+    case attempt_class::failed:
+        // The latency of a failure says nothing about the latency of the work.
+        ++m_failureStreak;
+        return;
+    case attempt_class::cancelled:
+        noteLatency(report);
+        return;
+    }
+}
+
+void backend_stats::reported(std::uint32_t load, time_point now)
+{
+    m_otherLoad = std::max(0.0, static_cast<double>(load) - static_cast<double>(m_starts.size()));
+    m_loadAt = now;
+}
+
+std::uint32_t backend_stats::inFlight() const
+{
+    return static_cast<std::uint32_t>(m_starts.size());
+}
+
+bool backend_stats::crossZone() const
+{
+    return m_crossZone;
+}
+
+double backend_stats::expectedServiceMs(time_point now, double typicalMs) const
+{
+    double expected = typicalMs;
+    if (m_latencyAt) {
+        const double age = std::max(0.0, toMilliseconds(now - *m_latencyAt));
+        const double kept = std::exp(-age / latencyDecayMs);
+        // An old estimate drifts back to what is typical of the service.
+        expected = m_latencyMs * kept + typicalMs * (1.0 - kept);
+    }
+    if (!m_starts.empty()) {
+        expected = std::max(expected, toMilliseconds(now - m_starts.front()));
+    }
+    return expected;
+}
+
+double backend_stats::otherLoad(time_point now) const
+{
+    if (!m_loadAt) {
+        return 0;
+    }
+    const double age = std::max(0.0, toMilliseconds(now - *m_loadAt));
+    return m_otherLoad * std::exp(-age / reportDecayMs);
+}
+
+std::uint32_t backend_stats::failureStreak() const
+{
+    return m_failureStreak;
+}
+
+std::optional<time_point> backend_stats::lastInformation() const
+{
+    if (m_loadAt && m_latencyAt) {
+        return std::max(*m_loadAt, *m_latencyAt);
+    }
+    return m_loadAt ? m_loadAt : m_latencyAt;
+}
+
+void backend_stats::eject(time_point until)
+{
+    m_ejectedUntil = until;
+    ++m_ejections;
+}
+
+bool backend_stats::isEjected(time_point now) const
+{
+    return now < m_ejectedUntil;
+}
+
+bool backend_stats::isOnTrial() const
+{
+    return m_ejections > 0;
+}
+
+std::uint32_t backend_stats::ejections() const
+{
+    return m_ejections;
+}
+
+double backend_stats::coldFactor() const
+{
+    if (m_successes >= warmSuccesses) {
+        return 1.0;
+    }
+    const double warmth = static_cast<double>(m_successes) / warmSuccesses;
+    return coldestFactor - (coldestFactor - 1.0) * warmth;
+}
+
+void backend_stats::noteLatency(const attempt_report &report)
+{
+    const double latency = toMilliseconds(report.finished - report.started);
+    if (!m_latencyAt || latency >= m_latencyMs) {
+        m_latencyMs = latency;
+    } else {
+        const double age = std::max(0.0, toMilliseconds(report.finished - *m_latencyAt));
+        const double kept = std::exp(-std::max(age, 1.0) / latencyDecayMs);
+        m_latencyMs = m_latencyMs * kept + latency * (1.0 - kept);
+    }
+    m_latencyAt = report.finished;
+}
+
+void backend_stats::noteSuccess(const attempt_report &report)
+{
+    noteLatency(report);
+    if (m_ejections > 0) {
+        m_successes = 0;
+    }
+    m_failureStreak = 0;
+    m_ejections = 0;
+    m_successes = std::min(m_successes + 1, warmSuccesses);
+}
+
+}
--- /dev/null
+++ b/libs/routing/src/balancer.cpp
@@ -0,0 +1,188 @@
+#include "cardamomdeck/routing/balancer.h"
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+namespace {
+
+/** Failures in a row after which a back end is ejected. */
+constexpr std::uint32_t ejectionStreak = 3;
+
+/** First ejection time; doubles with each further ejection. */
+constexpr milliseconds firstEjection{100};
+
+/** Largest exponent of the doubling. */
+constexpr std::uint32_t mostDoublings = 6;
+
+/** Largest share of a service's back ends that may be ejected at once. */
+constexpr double largestEjectedShare = 0.4;
+
+/** Relative step of a quantile estimate. */
+constexpr double quantileStep = 0.05;
+
+constexpr double medianQuantile = 0.5;
+constexpr double tailQuantile = 0.95;
+
+/** Stands in for the typical latency until the first answer, in milliseconds. */
+constexpr double unknownTypicalMs = 1.0;
+
+bool contains(std::span<const backend_handle> handles, const backend_handle &wanted)
+{
+    return std::ranges::find(handles, wanted) != handles.end();
+}
+
+}
+
+latency_quantile::latency_quantile(double quantile)
+    : m_quantile(quantile)
+{
+}
+
+void latency_quantile::add(double latencyMs)
+{
+    if (m_empty) {
+        m_value = latencyMs;
+        m_empty = false;
+        return;
+    }
+    const double step = std::max(m_value, 0.01) * quantileStep;
+    if (latencyMs > m_value) {
+        m_value += step * m_quantile;
+    } else {
+        m_value -= step * (1.0 - m_quantile);
+    }
+}
+
+double latency_quantile::value() const
+{
+    return m_value;
+}
+
+balancer::balancer(service_spec service, std::string zone, ejection_mode ejection)
+    : m_service(std::move(service))
+    , m_zone(std::move(zone))
+    , m_ejection(ejection)
+    , m_median(medianQuantile)
+    , m_tail(tailQuantile)
+{
+}
+
+void balancer::setService(service_spec service)
+{
+    m_service = std::move(service);
+}
+
+const service_spec &balancer::service() const
+{
+    return m_service;
+}
+
+void balancer::setBackends(const std::vector<backend_spec> &backends, time_point now)
+{
+    std::map<std::string, backend_handle> next;
+    for (const backend_spec &spec : backends) {
+        const bool crossZone = spec.zone != m_zone;
+        const auto present = m_backends.find(spec.name);
+        if (present == m_backends.end()) {
+            next[spec.name] = std::make_shared<backend_stats>(spec, crossZone, now);
+            continue;
+        }
+        present->second->reconfigure(spec, crossZone, now);
+        next[spec.name] = present->second;
+    }
+    m_backends = std::move(next);
+}
+
+void balancer::setLeaving(std::set<std::string> leaving)
+{
+    m_leaving = std::move(leaving);
+}
+
+backend_handle balancer::choose(std::span<const backend_handle> excluded, time_point now, random_source &random)
+{
+    auto candidates = usableBackends(excluded, now, false);
+    if (candidates.empty()) {
+        candidates = usableBackends(excluded, now, true);
+    }
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const double typicalMs = m_median.value() > 0 ? m_median.value() : unknownTypicalMs;
+    const choice_context context = {m_service, now, typicalMs, random, m_turn++};
+    const std::size_t index = strategyNamed(m_service.strategy).choose(candidates, context);
+    return m_backends.at(candidates[index]->spec().name);
+}
+
+void balancer::started(const backend_handle &backend, time_point now)
+{
+    backend->started(now);
+}
+
+void balancer::finished(const backend_handle &backend, const attempt_report &report)
+{
+    backend->finished(report);
+    if (report.kind == attempt_class::success) {
+        const double latencyMs = toMilliseconds(report.finished - report.started);
+        m_median.add(latencyMs);
+        m_tail.add(latencyMs);
+    }
+    if (report.kind == attempt_class::failed || report.kind == attempt_class::refused) {
+        considerEjection(backend, report.finished);
+    }
+}
+
+double balancer::hedgeDelayMs() const
+{
+    return m_tail.value();
+}
+
+const std::map<std::string, backend_handle> &balancer::backends() const
+{
+    return m_backends;
+}
+
+std::vector<backend_stats *>
+balancer::usableBackends(std::span<const backend_handle> excluded, time_point now, bool withEjected)
+{
+    std::vector<backend_stats *> usable;
+    usable.reserve(m_backends.size());
+    for (const auto &[name, backend] : m_backends) {
+        if (backend->spec().draining || m_leaving.contains(name) || contains(excluded, backend)) {
+            continue;
+        }
+        if (backend->inFlight() >= m_service.connectionsPerBackend) {
+            continue;
+        }
+        // A back end that comes back from ejection has to answer one request before it gets a second.
+        const bool onTrial = backend->isOnTrial() && backend->inFlight() > 0;
+        if (!withEjected && (backend->isEjected(now) || onTrial)) {
+            continue;
+        }
+        usable.push_back(backend.get());
+    }
+    return usable;
+}
+
+void balancer::considerEjection(const backend_handle &backend, time_point now)
+{
+    if (m_ejection == ejection_mode::off || backend->isEjected(now)) {
+        return;
+    }
+    const bool failedTrial = backend->isOnTrial();
+    if (!failedTrial && (backend->failureStreak() < ejectionStreak || !ejectionAllowed(now))) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(backend->ejections(), mostDoublings);
+    backend->eject(now + firstEjection * (1U << doublings));
+}
+
+bool balancer::ejectionAllowed(time_point now) const
+{
+    const auto ejected = std::ranges::count_if(
+        m_backends, [&](const auto &item) { return item.second->isEjected(now) || item.second->isOnTrial(); });
+    const double most = std::max(1.0, largestEjectedShare * static_cast<double>(m_backends.size()));
+    return static_cast<double>(ejected + 1) <= most && m_backends.size() > 1;
+}
+
+}
--- /dev/null
+++ b/standins/backendstandin.cpp
@@ -0,0 +1,214 @@
+/**
+ * @file
+ * Stand-in for a back end: a slot queue that counts what it ran.
+ *
+ * GET /load is the load report, GET /counts tells what ran, and POST /control
+ * changes the behaviour:
+ *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late",
+ *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N}
+ * Each other request waits for a slot, runs for the service time, and is
+ * recorded under its x-request-id.
+ */
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/http/httpserver.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <string>
+
+ABSL_FLAG(std::string, name, "backend", "Name that answers carry.");
+ABSL_FLAG(std::string, listen, "127.0.0.1:9100", "IP:port to listen on.");
+ABSL_FLAG(std::uint32_t, slots, 2, "Requests served at once.");
+ABSL_FLAG(double, service_ms, 1.0, "Mean service time in milliseconds; exponentially distributed.");
+ABSL_FLAG(std::uint32_t, queue, 1000, "Requests that may wait for a slot; more are refused.");
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the service times.");
+
+namespace cardamomdeck {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds slotPoll{1};
+constexpr milliseconds frozenPause{600'000};
+
+/** A request is neither started nor abandoned until its slot is free. */
+class slot_backend
+{
+public:
+    explicit slot_backend(asio::io_context &context)
+        : m_context(context)
+        , m_random(absl::GetFlag(FLAGS_seed))
+        , m_serviceMs(absl::GetFlag(FLAGS_service_ms))
+        , m_queue(absl::GetFlag(FLAGS_queue))
+        , m_server(
+              context.get_executor(),
+              [this](http_request &request, http_session &session) { return handle(request, session); },
+              server_options{{16 * 1024, 64 * 1024 * 1024}, milliseconds(60'000), milliseconds(10'000), 65'536, {}})
+    {
+    }
+
+    result_code listen(const socket_address &address)
+    {
+        return m_server.listen(address);
+    }
+
+private:
+    asio::awaitable<http_response> handle(http_request &request, http_session &session)
+    {
+        const std::string target = std::string(request.target());
+        if (target == "/control") {
+            co_return control(request.body());
+        }
+        if (target == "/counts") {
+            co_return counts();
+        }
+        if (target == "/load") {
+            ++m_probes;
+            co_return decorated(makeResponse(200, json({{"in_flight", m_held}}).dump()));
+        }
+        co_return co_await work(request, session);
+    }
+
+    asio::awaitable<http_response> work(http_request &request, http_session &session)
+    {
+        if (m_mode == "fail_fast") {
+            co_return decorated(makeResponse(500, "{}"));
+        }
+        if (m_mode == "refuse" || m_held >= absl::GetFlag(FLAGS_slots) + m_queue) {
+            http_response response = makeResponse(503, "{}");
+            response.set("x-refused", "before-start");
+            ++m_refusals;
+            co_return decorated(std::move(response));
+        }
+        ++m_held;
+        const std::string id = std::string(request["x-request-id"]);
+        while (m_running >= absl::GetFlag(FLAGS_slots)) {
+            co_await sleep(slotPoll);
+        }
+        ++m_running;
+        ++m_runs[id];
+        ++m_started;
+        const double serviceMs = -m_serviceMs * std::log(1.0 - randomUnit(m_random));
+        co_await sleep(std::chrono::duration_cast<microseconds>(std::chrono::duration<double, std::milli>(serviceMs)));
+        --m_running;
+        if (m_mode == "freeze") {
+            co_await sleep(frozenPause);
+        }
+        if (m_mode == "answer_late") {
+            co_await sleep(m_late);
+        }
+        --m_held;
+        ++m_finished;
+        const json body = {{"backend", absl::GetFlag(FLAGS_name)}, {"id", id}, {"echo", request.body().size()}};
+        static_cast<void>(session);
+        co_return decorated(makeResponse(200, body.dump()));
+    }
+
+    http_response decorated(http_response response) const
+    {
+        response.set("x-load", std::to_string(m_held));
+        if (m_draining) {
+            response.set("x-draining", "true");
+        }
+        return response;
+    }
+
+    http_response control(const std::string &body)
+    {
+        const json wanted = json::parse(body, nullptr, false);
+        if (!wanted.is_object()) {
+            return makeResponse(400, "{}");
+        }
+        m_mode = wanted.value("mode", m_mode);
+        m_draining = wanted.value("draining", m_draining);
+        m_serviceMs = wanted.value("service_ms", m_serviceMs);
+        m_queue = wanted.value("queue", m_queue);
+        m_late = milliseconds(wanted.value("late_ms", m_late.count()));
+        return counts();
+    }
+
+    http_response counts() const
+    {
+        std::uint64_t doubled = 0;
+        json ids = json::array();
+        for (const auto &[id, runs] : m_runs) {
+            doubled += runs > 1 && !id.empty() ? 1 : 0;
+            ids.push_back(id);
+        }
+        return makeResponse(200,
+                            json({{"started", m_started},
+                                  {"finished", m_finished},
+                                  {"held", m_held},
+                                  {"doubled", doubled},
+                                  {"refusals", m_refusals},
+                                  {"probes", m_probes},
+                                  {"ids", ids}})
+                                .dump());
+    }
+
+    template<typename duration>
+    asio::awaitable<void> sleep(duration span)
+    {
+        asio::steady_timer timer(m_context);
+        timer.expires_at(steady::now() + span);
+        co_await timer.async_wait(asTuple);
+    }
+
+    asio::io_context &m_context;
+    random_source m_random;
+    double m_serviceMs;
+    std::uint32_t m_queue;
+    std::string m_mode = "ok";
+    bool m_draining = false;
+    milliseconds m_late{0};
+    std::uint32_t m_held = 0;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_finished = 0;
+    std::uint64_t m_refusals = 0;
+    std::uint64_t m_probes = 0;
+    std::map<std::string, std::uint32_t> m_runs;
+    http_server m_server;
+};
+
+int runStandIn(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    asio::io_context context(1);
+    slot_backend backend(context);
+    const auto address = parseSocketAddress(absl::GetFlag(FLAGS_listen));
+    if (!address || backend.listen(*address) != result_code::ok) {
+        std::fprintf(stderr, "cannot listen on %s\n", absl::GetFlag(FLAGS_listen).c_str());
+        return 3;
+    }
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const auto &, int) { context.stop(); });
+    context.run();
+    return 0;
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return cardamomdeck::runStandIn(argc, argv);
+}
--- /dev/null
+++ b/tests/system/fleet.py
@@ -0,0 +1,254 @@
+"""Starts the daemon, the stand-ins and the tool as separate processes on loopback.
+
+Every process gets free ports and is ended by its id. Nothing here takes
+decisions of the load balancer; it only starts, stops and asks.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+BIN = Path(os.environ.get("CARDAMOMDECK_BIN", ROOT / "build" / "bin"))
+READY_SECONDS = 15
+
+
+def free_port():
+    """A port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Answer:
+    """An HTTP answer; status 0 stands for a connection that failed."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+    @property
+    def outcome(self):
+        return self.headers.get("x-outcome", "")
+
+
+def ask(address, method, path, body=None, headers=None, timeout=10.0):
+    """One request on a connection of its own."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        names = {key.lower(): value for key, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+    except (OSError, http.client.HTTPException) as error:
+        return Answer(0, {}, str(error).encode())
+    finally:
+        connection.close()
+
+
+def wait_until(condition, seconds=READY_SECONDS, what="condition"):
+    """Polls until the condition holds; fails the test after the given time."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not reached within {seconds} s: {what}")
+
+
+class Process:
+    """A process that this test started."""
+
+    def __init__(self, name, arguments, directory):
+        self.name = name
+        self.log_path = Path(directory) / f"{name}.log"
+        self._log = open(self.log_path, "ab")
+        self._arguments = [str(item) for item in arguments]
+        self.child = subprocess.Popen(self._arguments, stdout=self._log, stderr=self._log)
+
+    def signal(self, number):
+        self.child.send_signal(number)
+
+    def kill(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGKILL)
+        self.child.wait(timeout=READY_SECONDS)
+
+    def end(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.send_signal(signal.SIGKILL)
+        self.child.wait(timeout=READY_SECONDS)
+        self._log.close()
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+
+class Backend(Process):
+    """A back end stand-in."""
+
+    def __init__(self, name, directory, slots=2, service_ms=1.0, zone="zone-a", port=None, extra=()):
+        self.address = f"127.0.0.1:{port or free_port()}"
+        self.zone = zone
+        super().__init__(
+            name,
+            [BIN / "backendstandin", f"--name={name}", f"--listen={self.address}", f"--slots={slots}",
+             f"--service_ms={service_ms}", *extra],
+            directory,
+        )
+
+    def control(self, **values):
+        return ask(self.address, "POST", "/control", json.dumps(values)).json
+
+    def counts(self):
+        return ask(self.address, "GET", "/counts").json
+
+
+class Entry(Process):
+    """An entry daemon."""
+
+    def __init__(self, name, directory, log_address, zone="zone-a", seeds=(), vm_list="", extra=()):
+        self.zone = zone
+        self.traffic = f"127.0.0.1:{free_port()}"
+        self.api = f"127.0.0.1:{free_port()}"
+        self.peer = f"127.0.0.1:{free_port()}"
+        self._settings = [
+            BIN / "cardamomdeckd", f"--name={name}", f"--zone={zone}", f"--traffic_address={self.traffic}",
+            f"--api_address={self.api}", f"--peer_address={self.peer}", f"--log_service={log_address}",
+            f"--seeds={','.join(seeds)}", f"--vm_list={vm_list}", *extra,
+        ]
+        super().__init__(name, self._settings, directory)
+
+    def status(self):
+        answer = ask(self.api, "GET", "/v1/status", timeout=3)
+        return answer.json if answer.status == 200 else {}
+
+    def resource(self, kind, name):
+        answer = ask(self.api, "GET", f"/v1/{kind}/{name}")
+        return answer.json if answer.status == 200 else {}
+
+    def condition(self, kind, name, wanted):
+        """One condition of a resource, by type."""
+        for item in self.resource(kind, name).get("status", {}).get("conditions", []):
+            if item["type"] == wanted:
+                return item
+        return {}
+
+    def put(self, kind, name, spec, version=None, change_id=None):
+        headers = {}
+        if version is not None:
+            headers["If-Match"] = str(version)
+        if change_id:
+            headers["x-change-id"] = change_id
+        return ask(self.api, "PUT", f"/v1/{kind}/{name}", json.dumps(spec), headers, timeout=15)
+
+
+class Fleet:
+    """A log service, entries and back ends, ended together."""
+
+    def __init__(self):
+        self._directory = tempfile.TemporaryDirectory()
+        self.directory = self._directory.name
+        self.processes = []
+        self.log_addresses = []
+        self.entries = {}
+        self.backends = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes:
+            process.end()
+        self._directory.cleanup()
+
+    def start_log(self, ports=1):
+        """The log stand-in with several ports, each of which can be cut alone."""
+        self.log_addresses = [f"127.0.0.1:{free_port()}" for _ in range(ports)]
+        process = Process("log", [BIN / "logstandin", f"--listen={','.join(self.log_addresses)}"], self.directory)
+        self.processes.append(process)
+        wait_until(lambda: self.log_control(0), what="log service")
+        return process
+
+    def log_control(self, port, **values):
+        answer = ask(self.log_addresses[port], "POST", "/control", json.dumps(values))
+        return answer.json if answer.status == 200 else None
+
+    def all_logs(self, **values):
+        for port in range(len(self.log_addresses)):
+            self.log_control(port, **values)
+
+    def start_backend(self, name, **options):
+        backend = Backend(name, self.directory, **options)
+        self.processes.append(backend)
+        self.backends[name] = backend
+        wait_until(lambda: ask(backend.address, "GET", "/counts").status == 200, what=name)
+        return backend
+
+    def start_entry(self, name, port=0, wait=True, **options):
+        seeds = [entry.peer for entry in self.entries.values()]
+        entry = Entry(name, self.directory, self.log_addresses[port], seeds=seeds, **options)
+        self.processes.append(entry)
+        self.entries[name] = entry
+        if wait:
+            wait_until(lambda: entry.status().get("member"), what=f"{name} is a member")
+        return entry
+
+    def define_service(self, entry, name, backends, **spec):
+        """Creates a service, its back ends and a rule for /NAME through the resource API."""
+        results = [entry.put("services", name, spec)]
+        for backend in backends:
+            body = {"service": name, "address": backend.address, "zone": backend.zone}
+            results.append(entry.put("backends", backend.name, body))
+        results.append(entry.put("rules", name, {"path_prefix": f"/{name}", "service": name}))
+        for result in results:
+            assert result.status == 200, result.body
+        return results[-1].json["version"]
+
+
+class Caller(threading.Thread):
+    """Sends non-idempotent requests one after another and keeps what it was told."""
+
+    def __init__(self, addresses, path, prefix, method="POST", pause=0.0):
+        super().__init__(daemon=True)
+        self._addresses = addresses
+        self._path = path
+        self._prefix = prefix
+        self._method = method
+        self._pause = pause
+        self._stop_event = threading.Event()
+        self.answers = {}
+        self.wrong = []
+
+    def run(self):
+        number = 0
+        while not self._stop_event.is_set():
+            identity = f"{self._prefix}-{number}"
+            address = self._addresses[number % len(self._addresses)]
+            answer = ask(address, self._method, self._path, b"x" * 32, {"x-request-id": identity})
+            self.answers[identity] = answer
+            if answer.status == 200 and answer.json["id"] != identity:
+                self.wrong.append(identity)
+            number += 1
+            if self._pause:
+                time.sleep(self._pause)
+
+    def finish(self):
+        self._stop_event.set()
+        self.join(timeout=30)
+        return self.answers
