Prove the request path under faults, and let a cold back end warm up

The promises of the request path had no proof. Unit tests now cover the decisions, and system tests kill, freeze, delay, cut and silence back ends under non-idempotent load and compare what callers heard with what ran.

Found by the balancer's test of the way back from ejection: with idle neighbours, a cold back end was never chosen (2000 of 2000 choices went elsewhere), because only served requests made it warm. Ruled out: the ejection itself, which had ended. Now time warms it, too.

--- /dev/null
+++ b/libs/model/tests/resourcetest.cpp
@@ -0,0 +1,70 @@
+#include "cardamomdeck/model/resource.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+using namespace cardamomdeck;
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+std::string faultsOf(resource_kind kind, const std::string &name, const json &body)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_CHECK(normalizeResource(kind, name, body));
+            return std::string();
+        },
+        [](const failure &error) { return error.detail; },
+        [] { return std::string("?"); });
+}
+
+}
+
+Test(resource, a_service_needs_only_its_name)
+{
+    cr_assert(faultsOf(resource_kind::service, "lots", json::object()).empty());
+}
+
+Test(resource, every_fault_is_reported_at_once)
+{
+    const json body = {{"strategy", "magic"}, {"timeout_ms", 0}, {"slots_per_backend", -1}, {"colour", 1}};
+    const std::string faults = faultsOf(resource_kind::service, "Lots!", body);
+    for (const char *part : {"name", "strategy", "timeout_ms", "slots_per_backend", "colour is not a known field"}) {
+        cr_assert(faults.find(part) != std::string::npos, "%s in %s", part, faults.c_str());
+    }
+}
+
+Test(resource, numbers_out_of_range_or_of_another_type_are_refused)
+{
+    for (const json &wrong : {json(1.5), json("5"), json(UINT64_MAX), json(nullptr), json(601000)}) {
+        cr_assert(
+            not faultsOf(resource_kind::service, "lots", {{"timeout_ms", wrong}}).empty(), "%s", wrong.dump().c_str());
+    }
+}
+
+Test(resource, the_name_must_agree_with_the_path)
+{
+    cr_assert(not faultsOf(resource_kind::service, "lots", {{"name", "other"}}).empty());
+}
+
+Test(resource, all_kinds_survive_a_round_trip)
+{
+    const json backend = {{"service", "lots"}, {"address", "127.0.0.1:80"}, {"zone", "a"}};
+    cr_assert(faultsOf(resource_kind::backend, "lots-1", backend).empty());
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(first, normalizeResource(resource_kind::backend, "lots-1", backend));
+            BOOST_LEAF_AUTO(second, normalizeResource(resource_kind::backend, "lots-1", first));
+            cr_assert(first == second);
+            BOOST_LEAF_AUTO(rule, ruleFromJson({{"name", "r"}, {"path_prefix", "/lots"}, {"service", "lots"}}));
+            BOOST_LEAF_AUTO(again, ruleFromJson(toJson(rule)));
+            cr_assert(rule == again);
+            return {};
+        },
+        [] { cr_assert_fail("a valid resource was refused"); });
+}
--- a/libs/routing/include/cardamomdeck/routing/backendstats.h
+++ b/libs/routing/include/cardamomdeck/routing/backendstats.h
@@ -88,8 +88,8 @@
     /** Times ejected since the last success. */
     std::uint32_t ejections() const;
 
-    /** 1 for a warm back end, more for one that has served few requests since it was added or came back. */
-    double coldFactor() const;
+    /** 1 for a warm back end, more for one that was added, or came back, a short time and few requests ago. */
+    double coldFactor(time_point now) const;
 
 private:
     void noteLatency(const attempt_report &report);
@@ -105,6 +105,7 @@
     std::uint32_t m_failureStreak = 0;
     std::uint32_t m_ejections = 0;
     time_point m_ejectedUntil;
+    time_point m_coldSince;
     std::uint32_t m_successes = 0;
 };
 
--- a/libs/routing/src/backendstats.cpp
+++ b/libs/routing/src/backendstats.cpp
@@ -16,6 +16,9 @@
 /** Successes after which a back end counts as warm. */
 constexpr std::uint32_t warmSuccesses = 16;
 
+/** Time after which a back end counts as warm even if it was never chosen, in milliseconds. */
+constexpr double warmAfterMs = 1500.0;
+
 /** Cost factor of a back end that has not served anything yet. */
 constexpr double coldestFactor = 3.0;
 
@@ -25,6 +28,7 @@
     : m_spec(std::move(backend))
     , m_crossZone(crossZone)
     , m_ejectedUntil(now)
+    , m_coldSince(now)
 {
 }
 
@@ -39,6 +43,7 @@
         m_latencyAt.reset();
         m_loadAt.reset();
         m_successes = 0;
+        m_coldSince = now;
         m_failureStreak = 0;
         m_ejections = 0;
         m_ejectedUntil = now;
@@ -150,12 +155,11 @@
     return m_ejections;
 }
 
-double backend_stats::coldFactor() const
+double backend_stats::coldFactor(time_point now) const
 {
-    if (m_successes >= warmSuccesses) {
-        return 1.0;
-    }
-    const double warmth = static_cast<double>(m_successes) / warmSuccesses;
+    const double byWork = static_cast<double>(m_successes) / warmSuccesses;
+    const double byTime = toMilliseconds(now - m_coldSince) / warmAfterMs;
+    const double warmth = std::clamp(std::max(byWork, byTime), 0.0, 1.0);
     return coldestFactor - (coldestFactor - 1.0) * warmth;
 }
 
@@ -177,6 +181,7 @@
     noteLatency(report);
     if (m_ejections > 0) {
         m_successes = 0;
+        m_coldSince = report.finished;
     }
     m_failureStreak = 0;
     m_ejections = 0;
--- a/libs/routing/src/choicestrategy.cpp
+++ b/libs/routing/src/choicestrategy.cpp
@@ -41,7 +41,7 @@
     const double held = candidate.inFlight() + candidate.otherLoad(context.now);
     const double rounds = 1.0 + held / context.service.slotsPerBackend;
     const double zone = candidate.crossZone() ? toMilliseconds(context.service.zonePenalty) : 0.0;
-    return service * rounds * candidate.coldFactor() + zone;
+    return service * rounds * candidate.coldFactor(context.now) + zone;
 }
 
 std::size_t chooseLoadAware(std::span<backend_stats *const> candidates, const choice_context &context)
--- /dev/null
+++ b/libs/routing/tests/probebudgettest.cpp
@@ -0,0 +1,88 @@
+#include "cardamomdeck/routing/probebudget.h"
+
+#include "cardamomdeck/base/randomsource.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace cardamomdeck;
+
+namespace {
+
+const time_point start{seconds(1000)};
+constexpr seconds window{10};
+
+/** Most probes in any half-open window. */
+std::size_t mostInWindow(std::vector<time_point> probes)
+{
+    std::ranges::sort(probes);
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < probes.size(); ++last) {
+        while (probes[last] - probes[first] >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+}
+
+Test(probe_budget, nothing_is_sent_before_the_right_is_granted)
+{
+    probe_budget budget;
+    cr_assert(not budget.take(start));
+    budget.entitle(160, 16, start + seconds(3));
+    cr_assert(not budget.take(start + seconds(2)));
+    cr_assert(budget.take(start + seconds(3)));
+    budget.revoke();
+    cr_assert(not budget.take(start + seconds(30)));
+}
+
+Test(probe_budget, a_pause_saves_nothing_up)
+{
+    probe_budget budget;
+    budget.entitle(160, 16, start);
+    cr_assert(budget.take(start));
+    const time_point afterPause = start + seconds(600);
+    cr_assert(budget.take(afterPause));
+    cr_assert(not budget.take(afterPause + milliseconds(1)));
+}
+
+Test(probe_budget, a_budget_smaller_than_its_sharers_is_not_rounded_up)
+{
+    probe_budget budget;
+    budget.entitle(15, 16, start);
+    cr_assert(not budget.take(start + seconds(100)));
+}
+
+Test(probe_budget, the_sum_over_all_entries_stays_within_the_budget_in_every_window)
+{
+    constexpr std::uint32_t agreed = 160;
+    constexpr std::uint32_t ceiling = 16;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        random_source random(seed);
+        std::vector<probe_budget> entries(ceiling);
+        for (probe_budget &entry : entries) {
+            entry.entitle(agreed, ceiling, start);
+        }
+        std::vector<time_point> probes;
+        for (time_point now = start; now < start + seconds(60); now += milliseconds(1 + randomIndex(random, 20))) {
+            const std::size_t index = randomIndex(random, entries.size());
+            if (randomIndex(random, 500) == 0) {
+                // A configuration change grants the right again.
+                entries[index].entitle(agreed, ceiling, now);
+            }
+            for (probe_budget &entry : entries) {
+                if (entry.take(now)) {
+                    probes.push_back(now);
+                }
+            }
+        }
+        cr_assert(mostInWindow(probes) <= agreed, "seed %u: %zu", seed, mostInWindow(probes));
+        cr_assert(mostInWindow(probes) > agreed / 2);
+    }
+}
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -252,3 +252,145 @@
         self._stop_event.set()
         self.join(timeout=30)
         return self.answers
+
+
+class RawBackend(threading.Thread):
+    """A back end that answers with any bytes. The script maps a request head to (reply bytes, close after it)."""
+
+    def __init__(self, name, script, zone="zone-a"):
+        super().__init__(daemon=True)
+        self.name = name
+        self.zone = zone
+        self.requests = []
+        self.closed_by_peer = 0
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def stop(self):
+        self._listener.close()
+
+    def _serve(self, connection):
+        with connection:
+            self._answer_requests(connection)
+
+    def _answer_requests(self, connection):
+        data = b""
+        while True:
+            try:
+                received = connection.recv(65536)
+            except OSError:
+                return
+            if not received:
+                self.closed_by_peer += 1
+                return
+            data += received
+            while b"\r\n\r\n" in data:
+                head, rest = data.split(b"\r\n\r\n", 1)
+                lengths = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
+                length = int(lengths[0].split(b":")[1]) if lengths else 0
+                if len(rest) < length:
+                    break
+                data = rest[length:]
+                self.requests.append(head.decode())
+                reply, close = self._script(head.decode())
+                try:
+                    connection.sendall(reply)
+                except OSError:
+                    return
+                if close:
+                    return
+
+
+class Relay(threading.Thread):
+    """Forwards TCP to a target; can forget its open connections without closing them."""
+
+    def __init__(self, target, zone="zone-a", name="relay"):
+        super().__init__(daemon=True)
+        self.name = name
+        self.zone = zone
+        self.accepted = 0
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._silent = set()
+        self._open = set()
+        self._cut = False
+        self.start()
+
+    def run(self):
+        while True:
+            try:
+                inner, _ = self._listener.accept()
+            except OSError:
+                return
+            if self._cut:
+                inner.close()
+                continue
+            self.accepted += 1
+            host, port = self._target.rsplit(":", 1)
+            try:
+                outer = socket.create_connection((host, int(port)))
+            except OSError:
+                inner.close()
+                continue
+            pair = (inner, outer)
+            self._open.add(pair)
+            threading.Thread(target=self._copy, args=(pair, inner, outer), daemon=True).start()
+            threading.Thread(target=self._copy, args=(pair, outer, inner), daemon=True).start()
+
+    def silence(self):
+        """Open connections carry nothing any more; new ones work."""
+        self._silent |= self._open
+
+    def cut(self, value=True):
+        """Silences all connections and refuses new ones, or heals."""
+        self._cut = value
+        if value:
+            self.silence()
+
+    def _copy(self, pair, source, sink):
+        while True:
+            try:
+                data = source.recv(65536)
+                if pair in self._silent:
+                    if not data:
+                        return
+                    continue
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+            except OSError:
+                return
+
+
+def raw_exchange(address, data, timeout=5.0):
+    """Sends raw bytes and returns everything up to the end of the connection."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=timeout) as connection:
+        connection.sendall(data)
+        received = b""
+        while True:
+            try:
+                part = connection.recv(65536)
+            except OSError:
+                return received
+            if not part:
+                return received
+            received += part
+
+
+def http_reply(body=b"ok", status=200, headers=()):
+    """A whole HTTP answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
