Choose by what the entry knows exactly, and hedge only while slots are free

Cause: reported loads of single back ends. All entries that read the same late report choose the same back end. Now it waits until the median of the reports shows a free slot; a median is not moved by single liars. Latencies count a request that failed or was refused with its deadline.

Conclusion: own requests in flight and own latencies choose; reports only tell whether the fleet as a whole is busy.

--- /dev/null
+++ b/bench/replaybench.cpp
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Compares the proposed policies with the baselines on generated traces, and prints a table.
+ */
+#include "cardamomdeck/replay/replayrun.h"
+#include "cardamomdeck/replay/tracegenerator.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+ABSL_FLAG(std::string, output, "", "File that the table is also written to.");
+ABSL_FLAG(std::string, only, "", "Only traces whose name contains this text.");
+ABSL_FLAG(std::int64_t, length_ms, 8000, "Length of each trace in milliseconds.");
+ABSL_FLAG(std::uint64_t, seed, 20261204, "Seed of the traces and the policies.");
+
+namespace cardamomdeck {
+
+namespace {
+
+constexpr std::array<double, 3> loads = {0.5, 0.7, 0.85};
+
+std::string row(const std::string &trace, const replay_policy &policy, const replay_result &result)
+{
+    char text[256];
+    const double requests = static_cast<double>(result.requests);
+    std::snprintf(text,
+                  sizeof text,
+                  "| %-38s | %-19s | %7.2f | %7.2f | %7.2f | %5.2f | %6.4f | %5lu | %6.3f | %6.3f | %lu |\n",
+                  trace.c_str(),
+                  policy.name.c_str(),
+                  result.latencyMs(0.5),
+                  result.latencyMs(0.99),
+                  result.latencyMs(0.999),
+                  static_cast<double>(result.attempts) / requests,
+                  static_cast<double>(result.probes) / requests,
+                  result.mostProbesInWindow,
+                  100.0 * static_cast<double>(result.failures) / requests,
+                  100.0 * static_cast<double>(result.notRun + result.unknown) / requests,
+                  result.doubled);
+    return text;
+}
+
+int runBench(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    const std::string header
+        = "| trace | policy | p50 ms | p99 ms | p99.9 ms | attempts per request | probes per request | most probes of "
+          "a back "
+          "end in 10 s | failed % | refused or unknown % | doubled |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
+    std::string table = header;
+    std::fputs(header.c_str(), stdout);
+    for (const deployment_profile &profile : profileTable()) {
+        for (const scenario_info &scenario : scenarioTable()) {
+            for (const double load : loads) {
+                const std::string name = std::string(profile.name) + " " + std::string(scenario.name) + " "
+                                         + std::to_string(static_cast<int>(load * 100)) + "%";
+                if (name.find(absl::GetFlag(FLAGS_only)) == std::string::npos) {
+                    continue;
+                }
+                const trace_recipe recipe = {profile,
+                                             scenario.scenario,
+                                             load,
+                                             milliseconds(absl::GetFlag(FLAGS_length_ms)),
+                                             absl::GetFlag(FLAGS_seed)};
+                const recorded_trace trace = generateTrace(recipe);
+                for (const replay_policy &policy : comparedPolicies()) {
+                    const replay_result result = replay(trace, policy, absl::GetFlag(FLAGS_seed));
+                    const std::string line = row(name, policy, result);
+                    std::fputs(line.c_str(), stdout);
+                    std::fflush(stdout);
+                    table += line;
+                }
+            }
+        }
+    }
+    if (const std::string output = absl::GetFlag(FLAGS_output); !output.empty()) {
+        std::ofstream(output) << table;
+    }
+    return 0;
+}
+
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return cardamomdeck::runBench(argc, argv);
+}
--- a/daemon/requestrun.cpp
+++ b/daemon/requestrun.cpp
@@ -261,7 +261,7 @@
     if (now < hedgeAt() || m_endCode != result_code::ok || !m_finished.empty()) {
         return false;
     }
-    if (!m_plan.takeHedge(now) || !startAttempt("hedge")) {
+    if (!m_service->balance.hedgingPays(now) || !m_plan.takeHedge(now) || !startAttempt("hedge")) {
         m_hedgeRefused = true;
         return false;
     }
--- a/libs/model/include/cardamomdeck/model/resource.h
+++ b/libs/model/include/cardamomdeck/model/resource.h
@@ -46,13 +46,13 @@
     /** Connections that one entry may hold to one back end. */
     std::uint32_t connectionsPerBackend = 12;
     /** Probes that one back end accepts in ten seconds from all entries together. */
-    std::uint32_t probesPerTenSeconds = 160;
+    std::uint32_t probesPerTenSeconds = 64;
     /** Entries that may share the probe budget at once. */
     std::uint32_t entryCeiling = 16;
     /** Path of the load report that probes read. */
     std::string probePath = "/load";
     /** Age of the last information about a back end above which it is probed, within the budget. */
-    milliseconds probeAge{500};
+    milliseconds probeAge{1000};
     /** Extra attempts allowed, in hundredths of the number of requests. */
     std::uint32_t retryPercent = 10;
     /** Hedged attempts allowed, in hundredths of the number of idempotent requests; 0 turns hedging off. */
--- a/libs/model/src/resource.cpp
+++ b/libs/model/src/resource.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::array<std::string_view, 3> kindSegments = {"services", "backends", "rules"};
 
-constexpr std::array<std::string_view, 4> strategyNameList = {"load_aware", "least_in_flight", "round_robin", "random"};
+constexpr std::array<std::string_view, 5> strategyNameList
+    = {"load_aware", "least_in_flight", "least_reported", "round_robin", "random"};
 
 constexpr std::int64_t longestTimeoutMs = 600'000;
 constexpr std::int64_t largestCount = 1'000'000;
--- /dev/null
+++ b/libs/replay/src/replayrun.cpp
@@ -0,0 +1,458 @@
+#include "cardamomdeck/replay/replayrun.h"
+
+#include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/replay/slotqueue.h"
+#include "cardamomdeck/routing/probebudget.h"
+#include "cardamomdeck/routing/requestplan.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace cardamomdeck {
+
+namespace {
+
+const time_point replayStart{seconds(1000)};
+constexpr milliseconds probeTick{10};
+constexpr seconds probeWindow{10};
+constexpr milliseconds drainTime{3000};
+
+std::string backendName(std::uint32_t index)
+{
+    return "b" + std::to_string(index);
+}
+
+std::string zoneName(std::uint32_t index, const trace_deployment &deployment)
+{
+    return "zone-" + std::to_string(index % deployment.zones);
+}
+
+/** Events in the order of time; those of equal time in the order of their creation. */
+class event_queue
+{
+public:
+    using action = std::function<void(time_point)>;
+
+    void at(time_point when, action run)
+    {
+        m_events.push({when, m_count++, std::move(run)});
+    }
+
+    void runUntil(time_point end)
+    {
+        while (!m_events.empty() && m_events.top().when <= end) {
+            const event next = m_events.top();
+            m_events.pop();
+            next.run(next.when);
+        }
+    }
+
+private:
+    struct event
+    {
+        time_point when;
+        std::uint64_t number;
+        action run;
+
+        bool operator<(const event &other) const
+        {
+            return when != other.when ? when > other.when : number > other.number;
+        }
+    };
+
+    std::priority_queue<event> m_events;
+    std::uint64_t m_count = 0;
+};
+
+/** An entry with the daemon's decision classes. */
+struct replay_entry
+{
+    replay_entry(const service_spec &service, const std::string &zone, ejection_mode ejection, std::uint64_t seed)
+        : balance(service, zone, ejection)
+        , retries(service.retryPercent)
+        , hedges(service.hedgePercent)
+        , random(seed)
+    {
+    }
+
+    balancer balance;
+    attempt_budget retries;
+    attempt_budget hedges;
+    random_source random;
+    std::map<std::string, probe_budget> probeBudgets;
+};
+
+/** One request under way. */
+struct replay_request
+{
+    replay_request(const trace_request &recorded, replay_entry &servingEntry, request_traits traits)
+        : trace(recorded)
+        , entry(servingEntry)
+        , plan(traits, servingEntry.retries, servingEntry.hedges)
+        , deadline(traits.deadline)
+    {
+    }
+
+    const trace_request &trace;
+    replay_entry &entry;
+    request_plan plan;
+    time_point deadline;
+    std::vector<backend_handle> tried;
+    std::map<std::uint64_t, std::pair<backend_handle, time_point>> live;
+    std::uint32_t runs = 0;
+    bool done = false;
+};
+
+using request_ptr = std::shared_ptr<replay_request>;
+
+class replay_run
+{
+public:
+    replay_run(const recorded_trace &trace, const replay_policy &policy, std::uint64_t seed)
+        : m_trace(trace)
+        , m_service(policy.service)
+    {
+        const trace_deployment &deployment = trace.deployment;
+        m_service.name = deployment.name;
+        m_service.slotsPerBackend = deployment.slots;
+        std::vector<backend_spec> specs;
+        for (std::uint32_t i = 0; i < deployment.backends; ++i) {
+            m_backends.emplace_back(deployment.slots, deployment.queue);
+            specs.push_back({backendName(i), m_service.name, {"127.0.0.1", 1}, zoneName(i, deployment), false});
+            m_backendIndex[backendName(i)] = i;
+        }
+        m_probeTimes.resize(deployment.backends);
+        for (std::uint32_t i = 0; i < deployment.entries; ++i) {
+            m_entries.push_back(
+                std::make_unique<replay_entry>(m_service, zoneName(i, deployment), policy.ejection, seed * 1000 + i));
+            m_entries.back()->balance.setBackends(specs, replayStart);
+            for (const backend_spec &spec : specs) {
+                m_entries.back()->probeBudgets[spec.name].entitle(
+                    m_service.probesPerTenSeconds, m_service.entryCeiling, replayStart);
+            }
+        }
+    }
+
+    replay_result run()
+    {
+        time_point end = replayStart;
+        for (const trace_backend_change &change : m_trace.changes) {
+            m_events.at(replayStart + change.at, [this, &change](time_point) {
+                m_backends[change.backend].change(change.slowness, change.mode);
+            });
+        }
+        for (const trace_request &request : m_trace.requests) {
+            m_events.at(replayStart + request.at, [this, &request](time_point now) { arrive(request, now); });
+            end = replayStart + request.at;
+        }
+        m_lastArrival = end;
+        for (std::uint32_t i = 0; i < m_entries.size(); ++i) {
+            // Entries do not tick in step.
+            const microseconds offset = probeTick * i / static_cast<int>(m_entries.size());
+            m_events.at(replayStart + offset, [this, i](time_point now) { probeTickOf(i, now); });
+        }
+        m_events.runUntil(end + drainTime);
+        std::ranges::sort(m_result.latenciesMs);
+        m_result.mostProbesInWindow = mostProbesInWindow();
+        return std::move(m_result);
+    }
+
+private:
+    microseconds delayTo(const backend_handle &backend) const
+    {
+        return backend->crossZone() ? m_trace.deployment.crossZoneDelay : m_trace.deployment.sameZoneDelay;
+    }
+
+    slot_queue &queueOf(const backend_handle &backend)
+    {
+        return m_backends[m_backendIndex.at(backend->spec().name)];
+    }
+
+    void arrive(const trace_request &recorded, time_point now)
+    {
+        ++m_result.requests;
+        replay_entry &entry = *m_entries[recorded.entry];
+        const request_traits traits = {recorded.idempotent, false, now + m_service.timeout};
+        const auto request = std::make_shared<replay_request>(recorded, entry, traits);
+        if (!startAttempt(request, now)) {
+            endRequest(request, request->plan.finalCode(), now);
+        }
+    }
+
+    bool startAttempt(const request_ptr &request, time_point now)
+    {
+        replay_entry &entry = request->entry;
+        const backend_handle backend = entry.balance.choose(request->tried, now, entry.random);
+        if (!backend) {
+            return false;
+        }
+        const std::uint64_t attempt = ++m_attemptCount;
+        ++m_result.attempts;
+        request->plan.attemptStarted();
+        request->tried.push_back(backend);
+        request->live[attempt] = {backend, now};
+        entry.balance.started(backend, now);
+        m_events.at(now + delayTo(backend), [=, this](time_point at) { reachBackend(request, attempt, backend, at); });
+        m_events.at(request->deadline, [=, this](time_point at) {
+            endAttempt(request, attempt, {result_code::deadline_passed, true, 0, false, false}, std::nullopt, at);
+        });
+        scheduleHedge(request, now);
+        return true;
+    }
+
+    void scheduleHedge(const request_ptr &request, time_point now)
+    {
+        const double delayMs = request->entry.balance.hedgeDelayMs();
+        if (!request->trace.idempotent || m_service.hedgePercent == 0 || delayMs <= 0) {
+            return;
+        }
+        const auto delay = std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double, std::milli>(delayMs));
+        m_events.at(now + delay, [=, this](time_point at) {
+            const bool wanted = !request->done && request->live.size() == 1 && request->entry.balance.hedgingPays(at);
+            if (wanted && request->plan.takeHedge(at)) {
+                startAttempt(request, at);
+            }
+        });
+    }
+
+    void reachBackend(const request_ptr &request, std::uint64_t attempt, const backend_handle &backend, time_point now)
+    {
+        started_work started;
+        switch (queueOf(backend).arrive(attempt, request->trace.work, now, started)) {
+        case arrival_result::started:
+            m_waiting.erase(attempt);
+            work(request, backend, started);
+            return;
+        case arrival_result::queued:
+            m_waiting[attempt] = request;
+            return;
+        case arrival_result::refused:
+            answer(request, attempt, backend, {result_code::ok, true, 503, true, false}, now);
+            return;
+        case arrival_result::failed:
+            answer(request, attempt, backend, {result_code::ok, true, 500, false, false}, now);
+            return;
+        }
+    }
+
+    void work(const request_ptr &request, const backend_handle &backend, const started_work &started)
+    {
+        ++request->runs;
+        if (!request->trace.idempotent && request->runs > 1) {
+            ++m_result.doubled;
+        }
+        m_events.at(started.doneAt, [=, this](time_point now) {
+            const auto next = queueOf(backend).finish(now);
+            answer(request, started.attempt, backend, {result_code::ok, true, 200, false, false}, now);
+            if (next) {
+                const request_ptr waiting = m_waiting.at(next->attempt);
+                m_waiting.erase(next->attempt);
+                work(waiting, backend, *next);
+            }
+        });
+    }
+
+    void answer(const request_ptr &request,
+                std::uint64_t attempt,
+                const backend_handle &backend,
+                attempt_end end,
+                time_point now)
+    {
+        const std::uint32_t load = queueOf(backend).reportedLoad(now, m_trace.deployment.reportDelay);
+        m_events.at(now + delayTo(backend), [=, this](time_point at) { endAttempt(request, attempt, end, load, at); });
+    }
+
+    void endAttempt(const request_ptr &request,
+                    std::uint64_t attempt,
+                    const attempt_end &end,
+                    std::optional<std::uint32_t> load,
+                    time_point now)
+    {
+        const auto live = request->live.find(attempt);
+        if (live == request->live.end()) {
+            return;
+        }
+        const auto [backend, started] = live->second;
+        request->live.erase(live);
+        const attempt_class kind = end.refused            ? attempt_class::refused
+                                   : isServerFailure(end) ? attempt_class::failed
+                                                          : attempt_class::success;
+        request->entry.balance.finished(backend, {kind, started, now, load});
+        switch (request->plan.attemptEnded(end, now)) {
+        case plan_step::answer:
+            m_result.failures += isServerFailure(end) ? 1 : 0;
+            noteLatency(*request, isServerFailure(end) ? request->deadline : now);
+            endRequest(request, result_code::ok, now);
+            return;
+        case plan_step::retry:
+            if (!startAttempt(request, now)) {
+                endRequest(request, request->plan.finalCode(), now);
+            }
+            return;
+        case plan_step::wait:
+            return;
+        case plan_step::give_up:
+            endRequest(request, request->plan.finalCode(), now);
+            return;
+        }
+    }
+
+    void endRequest(const request_ptr &request, result_code code, time_point now)
+    {
+        request->done = true;
+        for (const auto &[attempt, live] : request->live) {
+            cancel(request, attempt, live.first, live.second, now);
+        }
+        request->live.clear();
+        if (code != result_code::ok) {
+            noteLatency(*request, request->deadline);
+        }
+        switch (infoOf(code).requestOutcome) {
+        case outcome::answered:
+            ++m_result.answered;
+            return;
+        case outcome::not_run:
+            ++m_result.notRun;
+            return;
+        case outcome::unknown:
+            ++m_result.unknown;
+            return;
+        }
+    }
+
+    void noteLatency(const replay_request &request, time_point served)
+    {
+        m_result.latenciesMs.push_back(toMilliseconds(served - replayStart - request.trace.at));
+    }
+
+    void cancel(const request_ptr &request,
+                std::uint64_t attempt,
+                const backend_handle &backend,
+                time_point started,
+                time_point now)
+    {
+        request->entry.balance.finished(backend, {attempt_class::cancelled, started, now, std::nullopt});
+        m_events.at(now + delayTo(backend), [=, this](time_point at) {
+            if (queueOf(backend).cancel(attempt, at)) {
+                m_waiting.erase(attempt);
+            }
+        });
+    }
+
+    void probeTickOf(std::uint32_t index, time_point now)
+    {
+        replay_entry &entry = *m_entries[index];
+        for (const auto &[name, backend] : entry.balance.backends()) {
+            const auto last = backend->lastInformation();
+            const bool due = !last || *last + m_service.probeAge <= now;
+            if (due && entry.probeBudgets[name].take(now)) {
+                probe(backend, now);
+            }
+        }
+        if (now < m_lastArrival) {
+            m_events.at(now + probeTick, [this, index](time_point at) { probeTickOf(index, at); });
+        }
+    }
+
+    void probe(const backend_handle &backend, time_point now)
+    {
+        ++m_result.probes;
+        const microseconds delay = delayTo(backend);
+        m_events.at(now + delay, [=, this](time_point at) {
+            m_probeTimes[m_backendIndex.at(backend->spec().name)].push_back(at);
+            const std::uint32_t load = queueOf(backend).reportedLoad(at, m_trace.deployment.reportDelay);
+            m_events.at(at + delay, [=](time_point answered) { backend->reported(load, answered); });
+        });
+    }
+
+    std::uint64_t mostProbesInWindow() const
+    {
+        std::uint64_t most = 0;
+        for (const std::vector<time_point> &times : m_probeTimes) {
+            std::size_t first = 0;
+            for (std::size_t last = 0; last < times.size(); ++last) {
+                while (times[last] - times[first] >= probeWindow) {
+                    ++first;
+                }
+                most = std::max<std::uint64_t>(most, last - first + 1);
+            }
+        }
+        return most;
+    }
+
+    const recorded_trace &m_trace;
+    service_spec m_service;
+    event_queue m_events;
+    std::vector<slot_queue> m_backends;
+    std::map<std::string, std::uint32_t> m_backendIndex;
+    std::vector<std::unique_ptr<replay_entry>> m_entries;
+    std::map<std::uint64_t, request_ptr> m_waiting;
+    std::vector<std::vector<time_point>> m_probeTimes;
+    std::uint64_t m_attemptCount = 0;
+    time_point m_lastArrival;
+    replay_result m_result;
+};
+
+replay_policy makePolicy(const std::string &name, const std::string &strategy, ejection_mode ejection)
+{
+    replay_policy policy;
+    policy.name = name;
+    policy.service.strategy = strategy;
+    policy.ejection = ejection;
+    return policy;
+}
+
+replay_policy makeBaseline(const std::string &strategy)
+{
+    replay_policy policy = makePolicy(strategy, strategy, ejection_mode::off);
+    policy.service.hedgePercent = 0;
+    policy.service.probesPerTenSeconds = 0;
+    return policy;
+}
+
+}
+
+double replay_result::latencyMs(double quantile) const
+{
+    if (latenciesMs.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(quantile * static_cast<double>(latenciesMs.size()));
+    return latenciesMs[std::min(index, latenciesMs.size() - 1)];
+}
+
+replay_result replay(const recorded_trace &trace, const replay_policy &policy, std::uint64_t seed)
+{
+    return replay_run(trace, policy, seed).run();
+}
+
+std::vector<replay_policy> comparedPolicies()
+{
+    replay_policy tail = makePolicy("load_aware_tail", "load_aware", ejection_mode::on);
+    tail.service.hedgePercent = 10;
+    tail.service.probeAge = milliseconds(50);
+    replay_policy cheap = makePolicy("load_aware_cheap", "load_aware", ejection_mode::on);
+    cheap.service.hedgePercent = 5;
+    cheap.service.probesPerTenSeconds = 32;
+    cheap.service.probeAge = milliseconds(1000);
+    replay_policy unhedged = tail;
+    unhedged.name = "load_aware_unhedged";
+    unhedged.service.hedgePercent = 0;
+    replay_policy unprobed = tail;
+    unprobed.name = "load_aware_unprobed";
+    unprobed.service.probesPerTenSeconds = 0;
+    return {tail,
+            cheap,
+            unhedged,
+            unprobed,
+            makeBaseline("random"),
+            makeBaseline("round_robin"),
+            makeBaseline("least_in_flight"),
+            makeBaseline("least_reported")};
+}
+
+}
--- /dev/null
+++ b/libs/replay/src/tracegenerator.cpp
@@ -0,0 +1,186 @@
+#include "cardamomdeck/replay/tracegenerator.h"
+
+#include "cardamomdeck/base/randomsource.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace cardamomdeck {
+
+namespace {
+
+constexpr std::uint32_t entryCount = 15;
+constexpr std::uint32_t zoneCount = 3;
+constexpr microseconds sameZoneDelay{150};
+constexpr microseconds connectTime{1000};
+constexpr std::uint32_t queuePerSlot = 10;
+
+/** Age of load reports in ordinary traces and in those with stale reports. */
+constexpr microseconds ordinaryReportDelay{2'000};
+constexpr microseconds staleReportDelay{200'000};
+
+/** Mean time between two slow phases of one back end, mean length of a phase, and its slowness. */
+constexpr double betweenPhasesUs = 300'000;
+constexpr double phaseUs = 15'000;
+constexpr double phaseSlowness = 4.0;
+
+constexpr double stragglerSlowness = 10.0;
+constexpr double overloadFactor = 1.5;
+constexpr std::uint32_t misreportingBackends = 3;
+constexpr std::uint32_t stragglingBackends = 2;
+
+constexpr std::array<scenario_info, 5> scenarios = {{{trace_scenario::shifting_load, "shifting_load"},
+                                                     {trace_scenario::stragglers, "stragglers"},
+                                                     {trace_scenario::stale_reports, "stale_reports"},
+                                                     {trace_scenario::fast_fail, "fast_fail"},
+                                                     {trace_scenario::overload, "overload"}}};
+
+constexpr std::array<deployment_profile, 4> profiles
+    = {{{"mill_lot_registry", 15, 2, microseconds(1500), microseconds(5000), 0.7},
+        {"mill_quality_desk", 12, 2, microseconds(1500), microseconds(5000), 0.9},
+        {"accra_dispatch", 15, 6, microseconds(1000), microseconds(8000), 0.7},
+        {"accra_catalogue", 10, 6, microseconds(1000), microseconds(8000), 0.95}}};
+
+double exponential(random_source &random, double mean)
+{
+    return -mean * std::log(1.0 - randomUnit(random));
+}
+
+/** Collects the events of one trace. */
+class trace_builder
+{
+public:
+    explicit trace_builder(const trace_recipe &recipe)
+        : m_recipe(recipe)
+        , m_random(recipe.seed)
+        , m_length(recipe.length)
+        , m_faultStart(m_length / 4)
+        , m_faultEnd(m_length * 3 / 4)
+    {
+    }
+
+    recorded_trace build()
+    {
+        describeDeployment();
+        addSlowPhases();
+        addScenario();
+        addRequests();
+        std::ranges::stable_sort(m_trace.changes, {}, &trace_backend_change::at);
+        return std::move(m_trace);
+    }
+
+private:
+    void describeDeployment()
+    {
+        const bool stale = m_recipe.scenario == trace_scenario::stale_reports;
+        trace_deployment &deployment = m_trace.deployment;
+        deployment.name = std::string(m_recipe.profile.name);
+        deployment.entries = entryCount;
+        deployment.backends = m_recipe.profile.backends;
+        deployment.slots = m_recipe.profile.slots;
+        deployment.zones = zoneCount;
+        deployment.crossZoneDelay = m_recipe.profile.crossZoneDelay;
+        deployment.sameZoneDelay = sameZoneDelay;
+        deployment.connectTime = connectTime;
+        deployment.reportDelay = stale ? staleReportDelay : ordinaryReportDelay;
+        deployment.queue = m_recipe.profile.slots * queuePerSlot;
+    }
+
+    void addSlowPhases()
+    {
+        for (std::uint32_t backend = 0; backend < m_recipe.profile.backends; ++backend) {
+            const backend_mode mode = modeOf(backend);
+            if (mode == backend_mode::misreport) {
+                m_trace.changes.push_back({microseconds(0), backend, 1.0, mode});
+            }
+            if (isFaulty(backend)) {
+                continue;
+            }
+            double at = exponential(m_random, betweenPhasesUs);
+            while (at < static_cast<double>(m_length.count())) {
+                const double end = at + exponential(m_random, phaseUs);
+                m_trace.changes.push_back({microseconds(std::llround(at)), backend, phaseSlowness, mode});
+                m_trace.changes.push_back({microseconds(std::llround(end)), backend, 1.0, mode});
+                at = end + exponential(m_random, betweenPhasesUs);
+            }
+        }
+    }
+
+    void addScenario()
+    {
+        for (std::uint32_t backend = 0; backend < m_recipe.profile.backends; ++backend) {
+            if (!isFaulty(backend)) {
+                continue;
+            }
+            const bool slow = m_recipe.scenario == trace_scenario::stragglers;
+            const backend_mode mode = slow ? backend_mode::serve : backend_mode::fail_fast;
+            m_trace.changes.push_back({m_faultStart, backend, slow ? stragglerSlowness : 1.0, mode});
+            m_trace.changes.push_back({m_faultEnd, backend, 1.0, backend_mode::serve});
+        }
+    }
+
+    void addRequests()
+    {
+        const deployment_profile &profile = m_recipe.profile;
+        const double capacity
+            = static_cast<double>(profile.backends) * profile.slots / static_cast<double>(profile.meanWork.count());
+        double at = 0;
+        for (;;) {
+            const microseconds now(std::llround(at));
+            const bool overloaded
+                = m_recipe.scenario == trace_scenario::overload && now >= m_faultStart && now < m_faultEnd;
+            const double load = overloaded ? overloadFactor : m_recipe.load;
+            at += exponential(m_random, 1.0 / (capacity * load));
+            if (at >= static_cast<double>(m_length.count())) {
+                return;
+            }
+            const auto work = static_cast<double>(profile.meanWork.count());
+            const double halfFixed = work / 2 + exponential(m_random, work / 2);
+            m_trace.requests.push_back({microseconds(std::llround(at)),
+                                        static_cast<std::uint32_t>(randomIndex(m_random, entryCount)),
+                                        microseconds(std::llround(halfFixed)),
+                                        randomUnit(m_random) < profile.idempotentShare});
+        }
+    }
+
+    bool isFaulty(std::uint32_t backend) const
+    {
+        if (m_recipe.scenario == trace_scenario::stragglers) {
+            return backend < stragglingBackends;
+        }
+        return m_recipe.scenario == trace_scenario::fast_fail && backend == 0;
+    }
+
+    backend_mode modeOf(std::uint32_t backend) const
+    {
+        const bool misreports = m_recipe.scenario == trace_scenario::stale_reports && backend < misreportingBackends;
+        return misreports ? backend_mode::misreport : backend_mode::serve;
+    }
+
+    const trace_recipe &m_recipe;
+    random_source m_random;
+    microseconds m_length;
+    microseconds m_faultStart;
+    microseconds m_faultEnd;
+    recorded_trace m_trace;
+};
+
+}
+
+std::span<const scenario_info> scenarioTable()
+{
+    return scenarios;
+}
+
+std::span<const deployment_profile> profileTable()
+{
+    return profiles;
+}
+
+recorded_trace generateTrace(const trace_recipe &recipe)
+{
+    return trace_builder(recipe).build();
+}
+
+}
--- /dev/null
+++ b/libs/replay/tests/replaytest.cpp
@@ -0,0 +1,148 @@
+#include "cardamomdeck/replay/replayrun.h"
+#include "cardamomdeck/replay/tracegenerator.h"
+
+#include "cardamomdeck/base/randomsource.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <criterion/criterion.h>
+
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+
+using namespace cardamomdeck;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::uint64_t policySeed = 7;
+constexpr std::uint64_t agreedProbes = 160;
+
+std::optional<recorded_trace> decode(const std::string &text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<recorded_trace>> {
+            BOOST_LEAF_AUTO(trace, decodeTrace(text));
+            return trace;
+        },
+        [] { return std::optional<recorded_trace>(); });
+}
+
+recorded_trace loadTrace(const std::string &name)
+{
+    std::ifstream file(std::string(TRACE_DIRECTORY) + "/" + name + ".trace");
+    const auto trace = decode(std::string(std::istreambuf_iterator<char>(file), {}));
+    cr_assert(trace.has_value(), "%s", name.c_str());
+    return *trace;
+}
+
+replay_policy policyNamed(const std::string &name)
+{
+    for (const replay_policy &policy : comparedPolicies()) {
+        if (policy.name == name) {
+            replay_policy found = policy;
+            found.service.probesPerTenSeconds
+                = std::min<std::uint32_t>(policy.service.probesPerTenSeconds, agreedProbes);
+            return found;
+        }
+    }
+    cr_assert_fail("no such policy");
+    return {};
+}
+
+/** The promises that hold in each replay, whatever the policy. */
+void checkPromises(const std::string &name, const replay_result &result)
+{
+    cr_assert_eq(result.doubled, 0U, "%s: a non-idempotent request ran twice", name.c_str());
+    cr_assert(result.mostProbesInWindow <= agreedProbes, "%s: %lu probes", name.c_str(), result.mostProbesInWindow);
+    cr_assert_eq(
+        result.answered + result.notRun + result.unknown, result.requests, "%s: an outcome is missing", name.c_str());
+}
+
+void checkBeatsBaselines(const std::string &traceName)
+{
+    const recorded_trace trace = loadTrace(traceName);
+    for (const char *proposed : {"load_aware_tail", "load_aware_cheap"}) {
+        const replay_result ours = replay(trace, policyNamed(proposed), policySeed);
+        checkPromises(traceName, ours);
+        for (const char *baseline : {"random", "round_robin", "least_in_flight", "least_reported"}) {
+            const replay_result theirs = replay(trace, policyNamed(baseline), policySeed);
+            checkPromises(traceName, theirs);
+            cr_assert(ours.latencyMs(0.99) < theirs.latencyMs(0.99),
+                      "%s: %s has a p99 of %.1f ms, %s one of %.1f ms",
+                      traceName.c_str(),
+                      proposed,
+                      ours.latencyMs(0.99),
+                      baseline,
+                      theirs.latencyMs(0.99));
+        }
+    }
+}
+
+}
+
+Test(replay, beats_each_baseline_at_the_mill)
+{
+    checkBeatsBaselines("mill_lot_registry_stragglers");
+    checkBeatsBaselines("mill_lot_registry_stale_reports");
+    checkBeatsBaselines("mill_lot_registry_fast_fail");
+}
+
+Test(replay, beats_each_baseline_in_accra)
+{
+    checkBeatsBaselines("accra_dispatch_stragglers");
+    checkBeatsBaselines("accra_dispatch_stale_reports");
+    checkBeatsBaselines("accra_dispatch_fast_fail");
+}
+
+Test(replay, under_overload_requests_are_refused_and_never_doubled)
+{
+    for (const char *name : {"mill_lot_registry_overload", "accra_dispatch_overload"}) {
+        const recorded_trace trace = loadTrace(name);
+        for (const replay_policy &policy : comparedPolicies()) {
+            const replay_result result = replay(trace, policy, policySeed);
+            checkPromises(name, result);
+            const std::uint64_t extra = result.attempts - result.requests;
+            const std::uint64_t allowed
+                = (policy.service.retryPercent + policy.service.hedgePercent) * result.requests / 100;
+            cr_assert(extra <= allowed, "%s %s: %lu extra attempts", name, policy.name.c_str(), extra);
+        }
+    }
+}
+
+Test(replay, is_the_same_each_time)
+{
+    const recorded_trace trace = loadTrace("mill_lot_registry_stragglers");
+    const replay_result first = replay(trace, policyNamed("load_aware_tail"), policySeed);
+    const replay_result second = replay(trace, policyNamed("load_aware_tail"), policySeed);
+    cr_assert(first.latenciesMs == second.latenciesMs);
+    cr_assert_eq(first.probes, second.probes);
+}
+
+Test(trace, survives_a_round_trip)
+{
+    const trace_recipe recipe = {profileTable()[0], trace_scenario::fast_fail, 0.5, milliseconds(100), 3};
+    const recorded_trace trace = generateTrace(recipe);
+    cr_assert(decode(encodeTrace(trace)) == trace);
+    cr_assert(generateTrace(recipe) == trace);
+}
+
+Test(trace, damaged_text_is_refused_with_the_line)
+{
+    const trace_recipe recipe = {profileTable()[0], trace_scenario::fast_fail, 0.5, milliseconds(20), 3};
+    const std::string valid = encodeTrace(generateTrace(recipe));
+    random_source random(9);
+    for (unsigned i = 0; i < 2000; ++i) {
+        std::string text = valid;
+        text[randomIndex(random, text.size())] = static_cast<char>(random());
+        text.resize(randomIndex(random, text.size() + 1));
+        decode(text);
+    }
+    cr_assert(not decode("").has_value());
+    cr_assert(not decode("{}").has_value());
+    const std::string header = valid.substr(0, valid.find('\n') + 1);
+    cr_assert(not decode(header + "[\"r\",0,99,1,true]\n").has_value());
+    cr_assert(not decode(header + "[\"b\",0,0,1,7]\n").has_value());
+}
--- a/libs/routing/include/cardamomdeck/routing/backendstats.h
+++ b/libs/routing/include/cardamomdeck/routing/backendstats.h
@@ -70,6 +70,9 @@
     /** Requests that other entries are believed to hold there; the belief fades with the age of its report. */
     double otherLoad(time_point now) const;
 
+    /** The load that the back end reported last, if that was at @p since or later. */
+    std::optional<std::uint32_t> reportedLoad(time_point since) const;
+
     /** Failures since the last success. */
     std::uint32_t failureStreak() const;
 
@@ -101,6 +104,7 @@
     double m_latencyMs = 0;
     std::optional<time_point> m_latencyAt;
     double m_otherLoad = 0;
+    std::uint32_t m_reportedLoad = 0;
     std::optional<time_point> m_loadAt;
     std::uint32_t m_failureStreak = 0;
     std::uint32_t m_ejections = 0;
--- a/libs/routing/include/cardamomdeck/routing/balancer.h
+++ b/libs/routing/include/cardamomdeck/routing/balancer.h
@@ -81,6 +81,13 @@
     /** Latency in milliseconds after which a hedge is worth its cost. */
     double hedgeDelayMs() const;
 
+    /**
+     * False when the back ends, by the median of their reports, have no free
+     * slots: then a hedge would add load where load is the cause. A median is
+     * not moved by single late or wrong reports.
+     */
+    bool hedgingPays(time_point now) const;
+
     /** All configured back ends. */
     const std::map<std::string, backend_handle> &backends() const;
 
--- a/libs/routing/src/backendstats.cpp
+++ b/libs/routing/src/backendstats.cpp
@@ -84,6 +84,7 @@
 void backend_stats::reported(std::uint32_t load, time_point now)
 {
     m_otherLoad = std::max(0.0, static_cast<double>(load) - static_cast<double>(m_starts.size()));
+    m_reportedLoad = load;
     m_loadAt = now;
 }
 
@@ -121,6 +122,14 @@
     return m_otherLoad * std::exp(-age / reportDecayMs);
 }
 
+std::optional<std::uint32_t> backend_stats::reportedLoad(time_point since) const
+{
+    if (!m_loadAt || *m_loadAt < since) {
+        return std::nullopt;
+    }
+    return m_reportedLoad;
+}
+
 std::uint32_t backend_stats::failureStreak() const
 {
     return m_failureStreak;
--- a/libs/routing/src/balancer.cpp
+++ b/libs/routing/src/balancer.cpp
@@ -24,6 +24,9 @@
 constexpr double medianQuantile = 0.5;
 constexpr double tailQuantile = 0.95;
 
+/** Age up to which a load report tells about the fleet as a whole. */
+constexpr milliseconds reportUse{1000};
+
 /** Stands in for the typical latency until the first answer, in milliseconds. */
 constexpr double unknownTypicalMs = 1.0;
 
@@ -137,6 +140,22 @@
     return m_tail.value();
 }
 
+bool balancer::hedgingPays(time_point now) const
+{
+    std::vector<std::uint32_t> loads;
+    for (const auto &[name, backend] : m_backends) {
+        if (const auto load = backend->reportedLoad(now - reportUse)) {
+            loads.push_back(*load);
+        }
+    }
+    if (loads.size() * 2 < m_backends.size()) {
+        return true;
+    }
+    const auto median = loads.begin() + static_cast<std::ptrdiff_t>(loads.size() / 2);
+    std::ranges::nth_element(loads, median);
+    return *median < m_service.slotsPerBackend;
+}
+
 const std::map<std::string, backend_handle> &balancer::backends() const
 {
     return m_backends;
--- a/libs/routing/src/choicestrategy.cpp
+++ b/libs/routing/src/choicestrategy.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace cardamomdeck {
 
 namespace {
 
-/** Candidates that the load-aware strategy compares. */
-constexpr std::size_t sampleSize = 6;
+/** Ratio to the typical latency up to which a back end does not count as slow. */
+constexpr double ordinaryVariation = 2.0;
 
 std::size_t chooseRandom(std::span<backend_stats *const> candidates, const choice_context &context)
 {
@@ -21,51 +20,58 @@
     return static_cast<std::size_t>(context.turn % candidates.size());
 }
 
-std::size_t chooseLeastInFlight(std::span<backend_stats *const> candidates, const choice_context &context)
+/** Index of the candidate with the least cost; the first one is random, so that equal costs are spread. */
+template<typename cost_function>
+std::size_t
+chooseLeast(std::span<backend_stats *const> candidates, const choice_context &context, const cost_function &costOf)
 {
     const std::size_t offset = randomIndex(context.random, candidates.size());
     std::size_t best = offset;
+    double bestCost = costOf(*candidates[offset]);
     for (std::size_t i = 1; i < candidates.size(); ++i) {
         const std::size_t index = (offset + i) % candidates.size();
-        if (candidates[index]->inFlight() < candidates[best]->inFlight()) {
+        const double cost = costOf(*candidates[index]);
+        if (cost < bestCost) {
             best = index;
+            bestCost = cost;
         }
     }
     return best;
 }
 
-/** Expected time to an answer from @p candidate, in milliseconds. */
-double expectedLatencyMs(const backend_stats &candidate, const choice_context &context)
+std::size_t chooseLeastInFlight(std::span<backend_stats *const> candidates, const choice_context &context)
+{
+    return chooseLeast(candidates, context, [](const backend_stats &candidate) { return candidate.inFlight(); });
+}
+
+std::size_t chooseLeastReported(std::span<backend_stats *const> candidates, const choice_context &context)
+{
+    return chooseLeast(candidates, context, [&](const backend_stats &candidate) {
+        return candidate.inFlight() + candidate.otherLoad(context.now);
+    });
+}
+
+/** How much slower @p candidate is than usual; ordinary variation counts as 1. */
+double slownessOf(const backend_stats &candidate, const choice_context &context)
 {
-    const double service = candidate.expectedServiceMs(context.now, context.typicalMs);
-    const double held = candidate.inFlight() + candidate.otherLoad(context.now);
-    const double rounds = 1.0 + held / context.service.slotsPerBackend;
-    const double zone = candidate.crossZone() ? toMilliseconds(context.service.zonePenalty) : 0.0;
-    return service * rounds * candidate.coldFactor(context.now) + zone;
+    const double ratio = candidate.expectedServiceMs(context.now, context.typicalMs) / context.typicalMs;
+    return std::max(1.0, ratio / ordinaryVariation);
 }
 
 std::size_t chooseLoadAware(std::span<backend_stats *const> candidates, const choice_context &context)
 {
-    const std::size_t offset = randomIndex(context.random, candidates.size());
-    // A stride that is odd and random keeps entries with like views from comparing the same candidates.
-    const std::size_t samples = std::min(sampleSize, candidates.size());
-    std::size_t best = offset;
-    double bestLatency = std::numeric_limits<double>::infinity();
-    for (std::size_t i = 0; i < samples; ++i) {
-        const bool all = samples == candidates.size();
-        const std::size_t index
-            = all ? (offset + i) % candidates.size() : randomIndex(context.random, candidates.size());
-        const double latency = expectedLatencyMs(*candidates[index], context);
-        if (latency < bestLatency) {
-            best = index;
-            bestLatency = latency;
-        }
-    }
-    return best;
+    const double zoneMs = toMilliseconds(context.service.zonePenalty);
+    // Reports of single back ends are left out: entries that read the same late report all choose the same back end.
+    return chooseLeast(candidates, context, [&](const backend_stats &candidate) {
+        const double rounds = 1.0 + candidate.inFlight();
+        const double zone = candidate.crossZone() ? zoneMs : 0.0;
+        return context.typicalMs * slownessOf(candidate, context) * rounds * candidate.coldFactor(context.now) + zone;
+    });
 }
 
-constexpr std::array<choice_strategy, 4> strategies = {{{"load_aware", &chooseLoadAware},
+constexpr std::array<choice_strategy, 5> strategies = {{{"load_aware", &chooseLoadAware},
                                                         {"least_in_flight", &chooseLeastInFlight},
+                                                        {"least_reported", &chooseLeastReported},
                                                         {"round_robin", &chooseRoundRobin},
                                                         {"random", &chooseRandom}}};
 
