Let peers' questions carry acknowledgements, and describe back ends once a second

Cause: an entry counted what a peer had installed only from replies to its own questions, and a peer that installed after its reply waited for the next period (0.8 s). Ruled out: the log's long poll, which returned at once. Now the installed offset in a peer's question counts, too; the lease still needs replies, since only they tell when.

With 5000 back ends the idle entry used 6.8 % of a core: every 50 ms the traffic thread listed all back ends for its report. It now does so once a second, with the metrics.

A proof did not prove: without the rule that unknown requests are not repeated, the test of late answers still passed, as its attempts end with the deadline. The new test loses connections early: 20 requests must be seen 20 times.

--- a/daemon/controlstate.cpp
+++ b/daemon/controlstate.cpp
@@ -153,6 +153,8 @@
 void control_state::heardRequest(const peer_message &message)
 {
     ingestMessage(message);
+    // What a peer has installed stays true; but only a reply tells when it was true, so the lease is not renewed.
+    m_peers.heard(message, false, steady::now(), steady::now());
     const auto member = m_config.members().find(message.entry);
     if (member == m_config.members().end() || member->second.incarnation != message.incarnation) {
         m_guestHeardAt = steady::now();
--- a/daemon/requestpath.cpp
+++ b/daemon/requestpath.cpp
@@ -31,7 +31,7 @@
 /** Period of reports to the control thread. */
 constexpr milliseconds reportPeriod{50};
 
-/** Reports between two renderings of the metrics. */
+/** Reports between two renderings of the metrics and the states of back ends. */
 constexpr unsigned reportsPerMetrics = 20;
 
 /** Period in which due probes are looked for. */
@@ -423,25 +423,33 @@
 
 std::shared_ptr<const traffic_report> request_path::makeReport()
 {
-    const time_point now = steady::now();
     auto next = std::make_shared<traffic_report>();
     next->installed = m_update->view->generation;
     next->held = m_held;
     next->announcedLeaving = m_announcedLeaving;
     next->requestsInFlight = m_requestsInFlight;
-    for (const auto &[serviceName, runtime] : m_services) {
-        for (const auto &[name, backend] : runtime->balance.backends()) {
-            next->backends.push_back(
-                {name, serviceName, backend->inFlight(), stateOf(*backend, now), backend->failureStreak()});
-        }
-    }
     if (m_reports++ % reportsPerMetrics == 0) {
         m_metrics = renderMetrics();
+        m_statuses = describeBackends();
     }
     next->metrics = m_metrics;
+    next->backends = m_statuses;
     return next;
 }
 
+std::shared_ptr<const std::vector<backend_status>> request_path::describeBackends() const
+{
+    const time_point now = steady::now();
+    auto statuses = std::make_shared<std::vector<backend_status>>();
+    for (const auto &[serviceName, runtime] : m_services) {
+        for (const auto &[name, backend] : runtime->balance.backends()) {
+            statuses->push_back(
+                {name, serviceName, backend->inFlight(), stateOf(*backend, now), backend->failureStreak()});
+        }
+    }
+    return statuses;
+}
+
 std::string request_path::renderMetrics() const
 {
     std::string text;
--- a/daemon/requestpath.h
+++ b/daemon/requestpath.h
@@ -81,6 +81,7 @@
     void noteDraining(const std::string &backend, const http_response &response);
     void report();
     std::shared_ptr<const traffic_report> makeReport();
+    std::shared_ptr<const std::vector<backend_status>> describeBackends() const;
     std::string renderMetrics() const;
     std::string stateOf(const backend_stats &backend, time_point now) const;
 
@@ -100,6 +101,7 @@
     std::shared_ptr<const traffic_report> m_lastReport;
     unsigned m_reports = 0;
     std::string m_metrics;
+    std::shared_ptr<const std::vector<backend_status>> m_statuses;
 };
 
 }
--- a/daemon/resourceapi.cpp
+++ b/daemon/resourceapi.cpp
@@ -77,6 +77,22 @@
     return {{"type", type}, {"status", holds}, {"reason", reason}, {"waiting_for", waitingFor}};
 }
 
+json describeStatuses(const std::vector<backend_status> *statuses)
+{
+    json described = json::array();
+    if (statuses == nullptr) {
+        return described;
+    }
+    for (const backend_status &backend : *statuses) {
+        described.push_back({{"name", backend.name},
+                             {"service", backend.service},
+                             {"in_flight", backend.inFlight},
+                             {"state", backend.state},
+                             {"failure_streak", backend.failureStreak}});
+    }
+    return described;
+}
+
 double processSeconds()
 {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -408,14 +424,7 @@
                            {"installed", m_state.peers().installedAt(name)},
                            {"silent_ms", name == m_state.self().name ? 0.0 : silentMs}});
     }
-    json backends = json::array();
-    for (const backend_status &backend : m_state.report().backends) {
-        backends.push_back({{"name", backend.name},
-                            {"service", backend.service},
-                            {"in_flight", backend.inFlight},
-                            {"state", backend.state},
-                            {"failure_streak", backend.failureStreak}});
-    }
+    const json backends = describeStatuses(m_state.report().backends.get());
     const double freshMs = std::clamp(toMilliseconds(m_state.peers().freshUntil() - now), -1e9, 1e9);
     return {{"entry", m_state.self().name},
             {"member", m_state.isMember()},
--- a/daemon/trafficexchange.h
+++ b/daemon/trafficexchange.h
@@ -65,7 +65,8 @@
     std::set<std::string> announcedLeaving;
     /** Requests that this entry holds. */
     std::uint64_t requestsInFlight = 0;
-    std::vector<backend_status> backends;
+    /** State of all back ends, as of at most a second ago; null before the first. */
+    std::shared_ptr<const std::vector<backend_status>> backends;
     /** Metrics of the traffic thread in text format. */
     std::string metrics;
 
--- /dev/null
+++ b/scripts/prove.py
@@ -0,0 +1,163 @@
+"""Shows that each proof fails without the mechanism that it is meant for.
+
+For each row the sources are copied to a scratch folder, one mechanism is
+removed, the build is repeated, and the named test has to fail. Prints one line
+for each row; exits with 1 when a test passes without its mechanism.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+SCRATCH = ROOT / "out" / "prove"
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A mechanism, the text that implements it, what stands in its place, and the test that must fail."""
+
+    mechanism: str
+    file: str
+    text: str
+    replacement: str
+    test: str
+
+
+REMOVALS = [
+    Removal("unknown requests are not repeated", "libs/routing/src/requestplan.cpp",
+            "m_traits.idempotent || outcomeOf(end) == outcome::not_run", "true",
+            "request_faults_test.py MisbehavingBackEnds.test_a_request_that_may_have_run_is_never_sent_again"),
+    Removal("a refusal before start counts as not run", "libs/routing/src/requestplan.cpp",
+            "if (end.refused || !end.bytesSent) {", "if (!end.bytesSent) {",
+            "request_faults_test.py FaultsUnderNonIdempotentLoad.test_when_all_refuse_every_caller_hears_not_run"),
+    Removal("a body without a length is not taken for whole", "libs/http/src/httpconnection.cpp",
+            "if (parser.need_eof() && !parser.get().body().empty()) {", "if (false) {",
+            "request_faults_test.py MisbehavingBackEnds.test_a_cut_body_never_passes_as_whole"),
+    Removal("a connection with left-over bytes carries no other request", "libs/http/src/httpconnection.cpp",
+            "return m_state->open && !m_state->busy && m_state->buffer.size() == 0;", "return m_state->open;",
+            "request_faults_test.py MisbehavingBackEnds.test_a_second_answer_on_a_connection_reaches_nobody"),
+    Removal("a kept connection needs a fresh proof of life", "daemon/requestrun.cpp",
+            "m_traits.idempotent ? time_point::min() : now - service.proofOfLife", "time_point::min()",
+            "request_faults_test.py SilentConnections.test_a_weighing_does_not_go_out_on_a_connection_without_fresh_proof"),
+    Removal("neighbours of a silent connection are dropped", "daemon/requestrun.cpp",
+            "m_path.m_pool.dropUnproven(target.name, now);", "",
+            "request_faults_test.py SilentConnections"
+            ".test_a_connection_that_goes_silent_under_a_request_is_found_out_for_its_neighbours"),
+    Removal("levels above are asked before a retry", "libs/routing/src/requestplan.cpp",
+            "harmless && !m_traits.retriedAbove && !end.retriedBelow", "harmless",
+            "request_faults_test.py MisbehavingBackEnds.test_a_request_that_is_a_retry_above_is_not_retried_below"),
+    Removal("a caller that goes cancels its request", "daemon/requestrun.cpp",
+            "self->end(result_code::caller_gone);", "",
+            "request_faults_test.py MisbehavingBackEnds.test_a_caller_that_goes_cancels_its_request"),
+    Removal("the queue is bounded", "daemon/requestpath.cpp",
+            "if (runtime->inFlight >= service.maxInFlight) {", "if (false) {",
+            "request_faults_test.py BadInput.test_a_full_queue_refuses_at_once_and_says_when_to_come_back"),
+    Removal("the view lease", "daemon/trafficexchange.h",
+            "return now.time_since_epoch().count() < freshUntil.load(std::memory_order_acquire);",
+            "static_cast<void>(now); return true;",
+            "configuration_test.py PausedAndIsolatedEntries.test_a_paused_entry_does_not_act_on_an_old_view_when_it_wakes"),
+    Removal("isolation ends the view lease", "daemon/trafficexchange.h",
+            "return now.time_since_epoch().count() < freshUntil.load(std::memory_order_acquire);",
+            "static_cast<void>(now); return true;",
+            "configuration_test.py PausedAndIsolatedEntries"
+            ".test_an_isolated_entry_stops_within_the_bound_and_its_callers_hear_not_run"),
+    Removal("a majority keeps the lease in an outage", "libs/membership/src/peertable.cpp",
+            "if (const auto heardAt = majorityHeardAt()) {\n        confirmed",
+            "if (const auto heardAt = majorityHeardAt(); false) {\n        confirmed",
+            "configuration_test.py StoreFailures.test_a_total_outage_keeps_the_present_view_and_accepts_nothing"),
+    Removal("records are passed between entries", "daemon/controlstate.cpp",
+            "if (peerApplied >= m_config.applied()) {", "if (true) {",
+            "configuration_test.py StoreFailures.test_an_entry_cut_from_the_store_gets_changes_from_its_peers"),
+    Removal("conditional changes", "libs/configlog/src/configstate.cpp",
+            "return current == *expected ? result_code::ok : result_code::version_conflict;",
+            "static_cast<void>(current); return result_code::ok;",
+            "configuration_test.py ChangesReachEveryEntry.test_of_two_racing_operators_one_wins_and_the_other_is_told"),
+    Removal("change ids", "libs/configlog/src/configstate.cpp",
+            "if (const auto earlier = resultOf(decoded.id)) {", "if (const auto earlier = resultOf(decoded.id); false) {",
+            "configuration_test.py ChangesReachEveryEntry"
+            ".test_a_lost_answer_of_the_store_does_not_double_or_refuse_the_change"),
+    Removal("snapshots", "daemon/logfollower.cpp",
+            "m_state.ingestSnapshot(result.records.back().data);", "",
+            "configuration_test.py ForgetfulStore.test_a_fresh_entry_starts_from_a_snapshot_when_the_records_have_expired"),
+    Removal("a drain waits for the entries that may hold requests", "daemon/controlstate.cpp",
+            "std::vector<std::string> waiting = knownHolders(name, version);", "std::vector<std::string> waiting;",
+            "draining_test.py DrainUnderLoad.test_a_drain_waits_for_a_paused_entry_that_holds_a_request"),
+    Removal("the VM list stops new work", "daemon/controlstate.cpp",
+            'leaving[vm] = "vm_list";', "",
+            "draining_test.py DrainUnderLoad.test_the_vm_list_stops_new_work_also_while_the_log_is_down"),
+    Removal("back ends' own signs are passed on", "daemon/controlstate.cpp",
+            'leaving[sign.backend] = "announced";', "",
+            "draining_test.py DrainUnderLoad.test_the_back_ends_own_sign_is_passed_on_during_a_store_outage"),
+    Removal("a leaving entry withdraws its address first", "daemon/main.cpp",
+            "timer.expires_at(steady::now() + m_settings.leaveTime);", "timer.expires_at(steady::now());",
+            "draining_test.py EntryShutdown.test_sigterm_cuts_no_request_and_leaves_the_answer_about_addresses_first"),
+    Removal("unlisted members can be evicted without a majority", "daemon/logfollower.cpp",
+            "if (m_startedAt <= goneSince) {", "if (false) {",
+            "configuration_test.py Replacement.test_all_entries_can_be_replaced_at_once_under_new_names"),
+    Removal("probes keep their gap", "libs/routing/src/probebudget.cpp",
+            "m_nextProbe = now + m_gap;", "", "routing_test"),
+    Removal("reports of single back ends are left out of the choice", "libs/routing/src/choicestrategy.cpp",
+            "const double rounds = 1.0 + candidate.inFlight();",
+            "const double rounds = 1.0 + candidate.inFlight() + candidate.otherLoad(context.now);", "replay_test"),
+    Removal("ejection", "libs/routing/src/balancer.cpp",
+            "if (m_ejection == ejection_mode::off || backend->isEjected(now)) {", "if (true) {", "replay_test"),
+]
+
+
+def run(command, **options):
+    return subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, **options)
+
+
+def copy_sources():
+    """A fresh copy of the tracked files; unchanged files keep their time, so that little is built again."""
+    SCRATCH.mkdir(parents=True, exist_ok=True)
+    listed = run(["git", "ls-files"], cwd=ROOT).stdout.splitlines()
+    for name in listed:
+        target = SCRATCH / name
+        target.parent.mkdir(parents=True, exist_ok=True)
+        if not target.exists() or target.read_bytes() != (ROOT / name).read_bytes():
+            shutil.copy(ROOT / name, target)
+
+
+def build():
+    configured = run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja"], cwd=SCRATCH)
+    built = run(["cmake", "--build", "build"], cwd=SCRATCH)
+    if configured.returncode != 0 or built.returncode != 0:
+        raise RuntimeError(configured.stdout[-2000:] + built.stdout[-4000:])
+
+
+def test_fails(test):
+    if "." not in test:
+        return run([SCRATCH / "build" / "bin" / test, "--jobs=1"], timeout=120).returncode != 0
+    environment = os.environ | {"CARDAMOMDECK_BIN": str(SCRATCH / "build" / "bin"), "PYTHONDONTWRITEBYTECODE": "1"}
+    command = [sys.executable, *test.split()]
+    return run(command, cwd=SCRATCH / "tests" / "system", env=environment, timeout=300).returncode != 0
+
+
+def main():
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    passing = 0
+    for removal in REMOVALS:
+        if wanted not in removal.mechanism:
+            continue
+        copy_sources()
+        source = SCRATCH / removal.file
+        text = source.read_text()
+        if removal.text not in text:
+            print(f"STALE   {removal.mechanism}: the text is not in {removal.file}", flush=True)
+            passing += 1
+            continue
+        source.write_text(text.replace(removal.text, removal.replacement, 1))
+        build()
+        failed = test_fails(removal.test)
+        passing += 0 if failed else 1
+        print(f"{'fails  ' if failed else 'PASSES '} without: {removal.mechanism} ({removal.test.split('.')[-1]})", flush=True)
+    return 1 if passing else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/request_faults_test.py
+++ b/tests/system/request_faults_test.py
@@ -140,6 +140,22 @@
             self.assertEqual((path, answer.status, answer.headers["x-result-code"]), (path, status, code))
             self.assertEqual(answer.outcome, "unknown")
 
+    def test_a_request_that_may_have_run_is_never_sent_again(self):
+        seen = []
+
+        def script(head):
+            seen.append(head)
+            return b"", True
+
+        backends = [RawBackend(f"lost-{i}", script) for i in range(3)]
+        for backend in backends:
+            self.addCleanup(backend.stop)
+        self.fleet.define_service(self.entry, "lost", backends, timeout_ms=2000, retry_percent=100,
+                                  probes_per_ten_seconds=0)
+        for _ in range(20):
+            self.assertEqual(self.post("/lost").outcome, "unknown")
+        self.assertEqual(len(seen), 20)
+
     def test_a_second_answer_on_a_connection_reaches_nobody(self):
         count = iter(range(100))
         self.serve("twice", lambda head: (http_reply(b"%d" % next(count)) + http_reply(b"stray"), False))
