Share the small asynchronous operations, and split the serving of a request

Waiting until a time stood five times, binding a port twice, and the wall clock in microseconds twice; request_path::serve did tracing besides serving. Each stands once now.

--- a/daemon/logfollower.cpp
+++ b/daemon/logfollower.cpp
@@ -1,12 +1,10 @@
 #include "logfollower.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <iterator>
@@ -18,8 +16,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
 const std::string configStream = "config";
 const std::string snapshotStream = "snapshots";
 
@@ -114,13 +110,6 @@
            + std::to_string(++m_changeCount);
 }
 
-asio::awaitable<void> log_follower::sleepUntil(time_point at)
-{
-    asio::steady_timer timer(m_context);
-    timer.expires_at(at);
-    co_await timer.async_wait(asTuple);
-}
-
 asio::awaitable<void> log_follower::readLoop()
 {
     co_await readSnapshot();
--- a/daemon/logfollower.h
+++ b/daemon/logfollower.h
@@ -50,7 +50,6 @@
     boost::asio::awaitable<void> snapshotLoop();
     boost::asio::awaitable<void> writeSnapshot();
     boost::asio::awaitable<void> vmListLoop();
-    boost::asio::awaitable<void> sleepUntil(time_point at);
     boost::asio::awaitable<void> appendAndAwait(change value);
     bool mayJoin() const;
     bool membershipIsAccepted() const;
--- a/daemon/peerexchange.cpp
+++ b/daemon/peerexchange.cpp
@@ -1,6 +1,7 @@
 #include "peerexchange.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -43,7 +44,7 @@
 
 using frame_length = std::uint32_t;
 
-/** Connections must have answered before this bound, or be closed. */
+/** False when the connection failed. */
 asio::awaitable<bool> writeFrame(beast::tcp_stream &stream, const std::string &body, std::uint64_t &bytes)
 {
     const frame_length length = boost::endian::native_to_big(static_cast<frame_length>(body.size()));
@@ -122,28 +123,15 @@
 
 result_code peer_exchange::start()
 {
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.peer.host, error), m_settings.peer.port);
-    if (!error) {
-        m_acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return result_code::port_in_use;
+    const result_code code = openAcceptor(m_acceptor, m_settings.peer);
+    if (code != result_code::ok) {
+        return code;
     }
     asio::co_spawn(
         m_context, [this]() -> asio::awaitable<void> { co_await acceptLoop(); }, asio::detached);
     asio::co_spawn(
         m_context, [this]() -> asio::awaitable<void> { co_await linkLoop(); }, asio::detached);
-    return result_code::ok;
+    return code;
 }
 
 void peer_exchange::askSoon()
@@ -163,12 +151,10 @@
 
 asio::awaitable<void> peer_exchange::acceptLoop()
 {
-    asio::steady_timer pause(m_context);
     for (;;) {
         auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
         if (error) {
-            pause.expires_at(steady::now() + shortestAskGap);
-            co_await pause.async_wait(asTuple);
+            co_await sleepUntil(steady::now() + shortestAskGap);
             continue;
         }
         auto accepted = std::make_shared<tcp::socket>(std::move(socket));
@@ -204,7 +190,6 @@
 
 asio::awaitable<void> peer_exchange::linkLoop()
 {
-    asio::steady_timer timer(m_context);
     for (;;) {
         const std::set<socket_address> wanted = wantedPeers();
         for (const socket_address &address : wanted) {
@@ -220,8 +205,7 @@
             item.second->removed = !wanted.contains(item.first);
             return item.second->removed;
         });
-        timer.expires_at(steady::now() + linkPeriod);
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + linkPeriod);
     }
 }
 
--- a/daemon/requestpath.cpp
+++ b/daemon/requestpath.cpp
@@ -4,13 +4,11 @@
 #include "requestrun.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/membership/addressanswer.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -23,8 +21,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
 /** Path at which callers ask which addresses to use. */
 constexpr std::string_view addressPath = "/.well-known/cardamomdeck/addresses";
 
@@ -62,12 +58,6 @@
     return options;
 }
 
-std::int64_t unixMicroseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<microseconds>(sinceEpoch).count();
-}
-
 std::string_view pathOf(const http_request &request)
 {
     const auto target = request.target();
@@ -185,55 +175,64 @@
         co_return reject(result_code::deadline_unreachable);
     }
     const auto run = std::make_shared<request_run>(*this, runtime, request, traits);
-    const auto context = headers::parseTraceparent(headers::valueOf(request, headers::traceparent));
-    run->traceId = context ? context->traceId : headers::randomHex(m_random, traceIdDigits);
-    run->parentSpanId = context ? context->parentId : std::string();
-    run->spanId = headers::randomHex(m_random, spanIdDigits);
-    constexpr std::size_t wholePercent = 100;
-    run->traced = (context && context->sampled) || randomIndex(m_random, wholePercent) < m_settings.tracePercent;
-
+    beginTrace(*run, request);
     ++runtime->inFlight;
     std::optional<http_response> response = co_await run->run(session);
     --runtime->inFlight;
-
-    const result_code code = run->endCode();
-    runtime->metrics.requestEnded(code, toMilliseconds(steady::now() - arrival));
-    if (run->traced || code != result_code::ok) {
-        trace_span span;
-        span.traceId = run->traceId;
-        span.spanId = run->spanId;
-        span.parentId = run->parentSpanId;
-        span.name = "request";
-        span.startUnixUs = arrivalUnixUs;
-        span.endUnixUs = unixMicroseconds();
-        span.tags = {{"service", service.name},
-                     {"rule", rule->name},
-                     {"generation", std::to_string(view->generation)},
-                     {"code", std::string(infoOf(code).name)},
-                     {"outcome", std::string(outcomeName(infoOf(code).requestOutcome))}};
-        m_traces.record(std::move(span));
-    }
+    runtime->metrics.requestEnded(run->endCode(), toMilliseconds(steady::now() - arrival));
+    recordRequest(*run, service.name, view->generation, arrivalUnixUs);
     if (!response) {
         session.abandon();
         co_return http_response();
     }
     headers::set(*response, headers::traceId, run->traceId);
-    if (code == result_code::ok) {
+    if (run->endCode() == result_code::ok) {
         headers::set(*response, headers::outcome, outcomeName(outcome::answered));
         headers::set(*response, headers::resultCode, "0");
     }
     co_return std::move(*response);
 }
 
+void request_path::beginTrace(request_run &run, const http_request &request)
+{
+    constexpr std::size_t wholePercent = 100;
+    const auto context = headers::parseTraceparent(headers::valueOf(request, headers::traceparent));
+    run.traceId = context ? context->traceId : headers::randomHex(m_random, traceIdDigits);
+    run.parentSpanId = context ? context->parentId : std::string();
+    run.spanId = headers::randomHex(m_random, spanIdDigits);
+    run.traced = (context && context->sampled) || randomIndex(m_random, wholePercent) < m_settings.tracePercent;
+}
+
+void request_path::recordRequest(const request_run &run,
+                                 const std::string &service,
+                                 log_offset generation,
+                                 std::int64_t arrivalUnixUs)
+{
+    const result_code code = run.endCode();
+    if (!run.traced && code == result_code::ok) {
+        return;
+    }
+    trace_span span;
+    span.traceId = run.traceId;
+    span.spanId = run.spanId;
+    span.parentId = run.parentSpanId;
+    span.name = "request";
+    span.startUnixUs = arrivalUnixUs;
+    span.endUnixUs = unixMicroseconds();
+    span.tags = {{"service", service},
+                 {"generation", std::to_string(generation)},
+                 {"code", std::string(infoOf(code).name)},
+                 {"outcome", std::string(outcomeName(infoOf(code).requestOutcome))}};
+    m_traces.record(std::move(span));
+}
+
 asio::awaitable<bool> request_path::waitUntilFresh(time_point deadline)
 {
-    asio::steady_timer pause(m_context);
     while (!m_link.isFresh(steady::now())) {
         if (steady::now() >= deadline) {
             co_return false;
         }
-        pause.expires_at(steady::now() + freshnessPoll);
-        co_await pause.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + freshnessPoll);
     }
     co_return true;
 }
@@ -326,10 +325,8 @@
 
 asio::awaitable<void> request_path::reportLoop()
 {
-    asio::steady_timer timer(m_context);
     for (;;) {
-        timer.expires_at(steady::now() + reportPeriod);
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + reportPeriod);
         report();
         m_pool.dropAllUnproven(steady::now() - idleConnectionAge);
     }
@@ -337,10 +334,8 @@
 
 asio::awaitable<void> request_path::probeLoop()
 {
-    asio::steady_timer timer(m_context);
     for (;;) {
-        timer.expires_at(steady::now() + probePeriod);
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + probePeriod);
         const time_point now = steady::now();
         if (!m_link.isFresh(now)) {
             continue;
--- a/daemon/requestrun.cpp
+++ b/daemon/requestrun.cpp
@@ -28,12 +28,6 @@
 
 constexpr std::size_t spanIdDigits = 16;
 
-std::int64_t unixMicroseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<microseconds>(sinceEpoch).count();
-}
-
 attempt_class classOf(const attempt_end &end)
 {
     if (end.refused) {
--- a/daemon/resourceapi.cpp
+++ b/daemon/resourceapi.cpp
@@ -3,10 +3,8 @@
 #include "trafficmetrics.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
@@ -24,8 +22,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
 /** Longest time from a change request to its answer. */
 constexpr milliseconds changeTimeout{5'000};
 
@@ -147,8 +143,7 @@
                            log_follower &follower,
                            peer_exchange &exchange,
                            trace_sink &traces)
-    : m_context(context)
-    , m_settings(settings)
+    : m_settings(settings)
     , m_state(state)
     , m_follower(follower)
     , m_exchange(exchange)
@@ -293,10 +288,8 @@
     if (folded->code != result_code::ok) {
         co_return errorResponse(folded->code, folded->detail);
     }
-    asio::steady_timer timer(m_context);
     while (!m_state.peers().acceptedAt(folded->offset) && steady::now() < deadline) {
-        timer.expires_at(steady::now() + pendingPoll);
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + pendingPoll);
     }
     const bool accepted = m_state.peers().acceptedAt(folded->offset).has_value();
     const json body = {{"change_id", id},
@@ -309,10 +302,8 @@
 
 asio::awaitable<void> resource_api::awaitFold(const std::string &id, time_point deadline)
 {
-    asio::steady_timer timer(m_context);
     while (!m_state.config().resultOf(id) && steady::now() < deadline) {
-        timer.expires_at(steady::now() + pendingPoll);
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(steady::now() + pendingPoll);
     }
 }
 
@@ -321,10 +312,8 @@
     const log_offset from = request.queryNumber("from");
     const milliseconds wait = std::min(milliseconds(request.queryNumber("wait_ms")), longestWatch);
     const time_point deadline = steady::now() + wait;
-    asio::steady_timer timer(m_context);
     while (m_state.config().applied() <= from && steady::now() < deadline) {
-        timer.expires_at(std::min(deadline, steady::now() + watchPoll));
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(std::min(deadline, steady::now() + watchPoll));
     }
     // Deleted resources are found by comparing "names" with what the watcher knows.
     json changed = json::array();
--- a/daemon/resourceapi.h
+++ b/daemon/resourceapi.h
@@ -53,7 +53,6 @@
     nlohmann::json status() const;
     std::string metrics() const;
 
-    boost::asio::io_context &m_context;
     const entry_settings &m_settings;
     control_state &m_state;
     log_follower &m_follower;
--- a/libs/base/include/cardamomdeck/base/clock.h
+++ b/libs/base/include/cardamomdeck/base/clock.h
@@ -28,6 +28,13 @@
     return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
 }
 
+/** Wall-clock microseconds since the Unix epoch, for spans. */
+inline std::int64_t unixMicroseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<microseconds>(sinceEpoch).count();
+}
+
 /** A duration in fractional milliseconds. */
 template<typename duration>
 double toMilliseconds(duration span)
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -1,10 +1,11 @@
 #include "cardamomdeck/http/httpserver.h"
 
+#include "cardamomdeck/http/asynctools.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -267,9 +268,7 @@
             co_return;
         }
         if (error || sessions.size() >= options.maxConnections) {
-            asio::steady_timer pause(executor);
-            pause.expires_at(steady::now() + acceptPause);
-            co_await pause.async_wait(asTuple);
+            co_await sleepUntil(steady::now() + acceptPause);
             continue;
         }
         auto session = std::make_shared<connection>(std::move(socket), self);
@@ -291,23 +290,9 @@
 
 result_code http_server::listen(const socket_address &address)
 {
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
-    tcp::acceptor &acceptor = m_state->acceptor;
-    if (!error) {
-        acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return result_code::port_in_use;
+    const result_code code = openAcceptor(m_state->acceptor, address);
+    if (code != result_code::ok) {
+        return code;
     }
     const auto state = m_state;
     asio::co_spawn(
