Wait a moment for a trace that is on its way

README's first command failed in a fresh clone: explain found no trace (exit 4). Cause: since the trace thread looks every 50 ms instead of every 5 ms, a question asked right after the answer can come too early.

--- a/daemon/resourceapi.cpp
+++ b/daemon/resourceapi.cpp
@@ -34,6 +34,11 @@
 constexpr milliseconds watchPoll{10};
 constexpr milliseconds longestWatch{30'000};
 
+/** Longest time that a question waits for a trace that is not known yet. */
+constexpr milliseconds traceWait{300};
+
+constexpr std::string_view emptyTrace = "[]";
+
 constexpr unsigned statusOk = 200;
 
 http_response errorResponse(result_code code, const std::string &detail)
@@ -179,7 +184,7 @@
         co_return co_await watch(request);
     }
     if (path.size() == 3 && path[1] == "traces") {
-        co_return makeResponse(statusOk, m_traces.traceAsJson(path[2]));
+        co_return co_await answerTrace(path[2]);
     }
     if (path.size() == 3 && path[1] == "members" && request.method == http::verb::delete_) {
         co_return co_await evict(path[2]);
@@ -187,6 +192,18 @@
     co_return co_await handleResources(request);
 }
 
+asio::awaitable<http_response> resource_api::answerTrace(std::string traceId)
+{
+    // The spans of a request that has just been answered are on their way to the sink.
+    const time_point deadline = steady::now() + traceWait;
+    std::string trace = m_traces.traceAsJson(traceId);
+    while (trace == emptyTrace && steady::now() < deadline) {
+        co_await sleepUntil(steady::now() + watchPoll);
+        trace = m_traces.traceAsJson(traceId);
+    }
+    co_return makeResponse(statusOk, trace);
+}
+
 asio::awaitable<http_response> resource_api::handleResources(const api_request &request)
 {
     const auto kind = leaf::try_handle_all(
--- a/daemon/resourceapi.h
+++ b/daemon/resourceapi.h
@@ -39,6 +39,7 @@
     struct api_request;
 
     boost::asio::awaitable<http_response> handle(const http_request &request);
+    boost::asio::awaitable<http_response> answerTrace(std::string traceId);
     boost::asio::awaitable<http_response> handleResources(const api_request &request);
     boost::asio::awaitable<http_response> put(const api_request &request, resource_key key);
     boost::asio::awaitable<http_response> remove(const api_request &request, resource_key key);
