Split the benchmark's main function, and drop a code that nothing returns

replaybench nested four loops in one function; entry_leaving (310) was never returned: a leaving entry serves until it closes its port.

--- a/bench/replaybench.cpp
+++ b/bench/replaybench.cpp
@@ -24,6 +24,11 @@
 
 constexpr std::array<double, 3> loads = {0.5, 0.7, 0.85};
 
+constexpr const char *tableHead
+    = "| trace | policy | p50 ms | p99 ms | p99.9 ms | attempts per request | probes per request | most probes of a "
+      "back "
+      "end in 10 s | failed % | refused or unknown % | doubled |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
+
 std::string row(const std::string &trace, const replay_policy &policy, const replay_result &result)
 {
     char text[256];
@@ -45,38 +50,45 @@
     return text;
 }
 
+/** Replays one trace under each policy; returns the rows and prints them as they come. */
+std::string measureTrace(const trace_recipe &recipe, const std::string &name)
+{
+    std::string rows;
+    const recorded_trace trace = generateTrace(recipe);
+    for (const replay_policy &policy : comparedPolicies()) {
+        const std::string line = row(name, policy, replay(trace, policy, recipe.seed));
+        std::fputs(line.c_str(), stdout);
+        std::fflush(stdout);
+        rows += line;
+    }
+    return rows;
+}
+
+/** Measures all scenarios and loads of one service. */
+std::string measureProfile(const deployment_profile &profile)
+{
+    std::string rows;
+    for (const scenario_info &scenario : scenarioTable()) {
+        for (const double load : loads) {
+            const std::string percent = std::to_string(static_cast<int>(load * 100)) + "%";
+            const std::string name = std::string(profile.name) + " " + std::string(scenario.name) + " " + percent;
+            if (name.find(absl::GetFlag(FLAGS_only)) == std::string::npos) {
+                continue;
+            }
+            const milliseconds length(absl::GetFlag(FLAGS_length_ms));
+            rows += measureTrace({profile, scenario.scenario, load, length, absl::GetFlag(FLAGS_seed)}, name);
+        }
+    }
+    return rows;
+}
+
 int runBench(int argc, char **argv)
 {
     absl::ParseCommandLine(argc, argv);
-    const std::string header
-        = "| trace | policy | p50 ms | p99 ms | p99.9 ms | attempts per request | probes per request | most probes of "
-          "a back "
-          "end in 10 s | failed % | refused or unknown % | doubled |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
-    std::string table = header;
-    std::fputs(header.c_str(), stdout);
+    std::string table = tableHead;
+    std::fputs(tableHead, stdout);
     for (const deployment_profile &profile : profileTable()) {
-        for (const scenario_info &scenario : scenarioTable()) {
-            for (const double load : loads) {
-                const std::string name = std::string(profile.name) + " " + std::string(scenario.name) + " "
-                                         + std::to_string(static_cast<int>(load * 100)) + "%";
-                if (name.find(absl::GetFlag(FLAGS_only)) == std::string::npos) {
-                    continue;
-                }
-                const trace_recipe recipe = {profile,
-                                             scenario.scenario,
-                                             load,
-                                             milliseconds(absl::GetFlag(FLAGS_length_ms)),
-                                             absl::GetFlag(FLAGS_seed)};
-                const recorded_trace trace = generateTrace(recipe);
-                for (const replay_policy &policy : comparedPolicies()) {
-                    const replay_result result = replay(trace, policy, absl::GetFlag(FLAGS_seed));
-                    const std::string line = row(name, policy, result);
-                    std::fputs(line.c_str(), stdout);
-                    std::fflush(stdout);
-                    table += line;
-                }
-            }
-        }
+        table += measureProfile(profile);
     }
     if (const std::string output = absl::GetFlag(FLAGS_output); !output.empty()) {
         std::ofstream(output) << table;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -158,7 +158,9 @@
     const settings_check check = readSettings(argc, argv);
     if (!check.faults.empty()) {
         for (const std::string &fault : check.faults) {
-            const log_line line = log_line("setting_invalid").add("code", 100).add("detail", fault);
+            const log_line line = log_line("setting_invalid")
+                                      .add("code", static_cast<int>(result_code::setting_invalid))
+                                      .add("detail", fault);
             std::fprintf(stderr, "%s\n", line.text().c_str());
         }
         return exitWrongSetting;
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -45,7 +45,6 @@
     view_stale = 307,
     backend_refused = 308,
     connect_failed = 309,
-    entry_leaving = 310,
     request_incomplete = 311,
 
     deadline_passed = 400,
--- a/libs/base/src/resultcode.cpp
+++ b/libs/base/src/resultcode.cpp
@@ -42,7 +42,6 @@
     {result_code::view_stale, "view_stale", outcome::not_run, 503, "The entry cannot confirm its configuration."},
     {result_code::backend_refused, "backend_refused", outcome::not_run, 503, "Back ends refused before starting."},
     {result_code::connect_failed, "connect_failed", outcome::not_run, 503, "No connection to a back end was made."},
-    {result_code::entry_leaving, "entry_leaving", outcome::not_run, 503, "The entry is shutting down."},
     {result_code::request_incomplete,
      "request_incomplete",
      outcome::not_run,
--- a/libs/routing/include/cardamomdeck/routing/balancer.h
+++ b/libs/routing/include/cardamomdeck/routing/balancer.h
@@ -41,7 +41,7 @@
     bool m_empty = true;
 };
 
-/** Whether the daemon's balancers may weigh failures; baselines of the benchmark turn it off. */
+/** Whether back ends that fail are ejected; the baselines of the benchmark do without. */
 enum class ejection_mode {
     off,
     on,
