--- a/daemon/requestpath.cpp
+++ b/daemon/requestpath.cpp
@@ -180,7 +180,7 @@
     std::optional<http_response> response = co_await run->run(session);
     --runtime->inFlight;
     runtime->metrics.requestEnded(run->endCode(), toMilliseconds(steady::now() - arrival));
-    recordRequest(*run, service.name, view->generation, arrivalUnixUs);
+    recordRequest(*run, *rule, view->generation, arrivalUnixUs);
     if (!response) {
         session.abandon();
         co_return http_response();
@@ -204,7 +204,7 @@
 }
 
 void request_path::recordRequest(const request_run &run,
-                                 const std::string &service,
+                                 const rule_spec &rule,
                                  log_offset generation,
                                  std::int64_t arrivalUnixUs)
 {
@@ -219,7 +219,8 @@
     span.name = "request";
     span.startUnixUs = arrivalUnixUs;
     span.endUnixUs = unixMicroseconds();
-    span.tags = {{"service", service},
+    span.tags = {{"service", rule.service},
+                 {"rule", rule.name},
                  {"generation", std::to_string(generation)},
                  {"code", std::string(infoOf(code).name)},
                  {"outcome", std::string(outcomeName(infoOf(code).requestOutcome))}};
--- a/daemon/requestpath.h
+++ b/daemon/requestpath.h
@@ -69,10 +69,8 @@
     boost::asio::awaitable<http_response> handle(http_request &request, http_session &session);
     boost::asio::awaitable<http_response> serve(http_request &request, http_session &session);
     void beginTrace(request_run &run, const http_request &request);
-    void recordRequest(const request_run &run,
-                       const std::string &service,
-                       log_offset generation,
-                       std::int64_t arrivalUnixUs);
+    void
+    recordRequest(const request_run &run, const rule_spec &rule, log_offset generation, std::int64_t arrivalUnixUs);
     boost::asio::awaitable<bool> waitUntilFresh(time_point deadline);
     http_response answerAddresses(const http_request &request) const;
     http_response reject(result_code code) const;
--- a/tests/system/settings_test.py
+++ b/tests/system/settings_test.py
@@ -77,7 +77,7 @@
     def test_explain_shows_the_hops_of_a_request(self):
         answer = ask(self.entry.traffic, "GET", "/lots")
         explained = self.tool("explain", answer.headers["x-trace-id"]).stdout
-        for part in ("attempt", "request", '"backend":"lots-1"', '"reason":"first"'):
+        for part in ("attempt", "request", '"backend":"lots-1"', '"reason":"first"', '"rule":"lots"'):
             self.assertIn(part, explained)
 
     def test_metrics_are_served_as_text(self):
