--- /dev/null
+++ b/libs/dispatch/src/pacestatistics.cpp
@@ -0,0 +1,25 @@
+#include "cardamomdeck/dispatch/pacestatistics.h"
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+running_mean::running_mean(double weight)
+    : m_weight(weight)
+{
+}
+
+void running_mean::add(double value)
+{
+    ++m_count;
+    // The first values count fully, so that the mean does not start from an arbitrary point.
+    const double weight = std::max(m_weight, 1.0 / static_cast<double>(m_count));
+    m_value += weight * (value - m_value);
+}
+
+double running_mean::valueOr(double fallback) const
+{
+    return m_count == 0 ? fallback : m_value;
+}
+
+}
--- /dev/null
+++ b/libs/dispatch/src/trafficsplit.cpp
@@ -0,0 +1,34 @@
+#include "cardamomdeck/dispatch/trafficsplit.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace cardamomdeck {
+
+traffic_split::traffic_split(std::vector<weighted_service> services, random_source &random)
+    : m_services(std::move(services))
+{
+    for (const weighted_service &part : m_services) {
+        m_total += part.weight;
+    }
+    for (const weighted_service &part : m_services) {
+        m_credits.push_back(randomUnit(random) * part.weight);
+    }
+}
+
+const std::string &traffic_split::next()
+{
+    for (std::size_t i = 0; i < m_services.size(); ++i) {
+        m_credits[i] += m_services[i].weight;
+    }
+    const auto best = std::ranges::max_element(m_credits);
+    *best -= m_total;
+    return m_services[static_cast<std::size_t>(best - m_credits.begin())].service;
+}
+
+const std::vector<weighted_service> &traffic_split::services() const
+{
+    return m_services;
+}
+
+}
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -0,0 +1,86 @@
+/**
+ * @file
+ * Folds the store's records of backend servers into the set that may receive work.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/fleet/backendserver.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** One record about a backend server; without a server it says that the server is gone. */
+struct backend_record
+{
+    std::string id;
+    store_offset offset = 0;
+    std::optional<backend_server> server;
+
+    bool operator==(const backend_record &) const = default;
+};
+
+/**
+ * The newest known record of each backend server. Records may arrive late,
+ * twice and out of order, from the store and from peers.
+ *
+ * When the store has been away, registrations may have lapsed although the
+ * servers live. Such a server stays in use for a short time, in which it can
+ * register again.
+ */
+class backend_registry
+{
+public:
+    /** Time in which a server whose registration lapsed during an outage can register again. */
+    static constexpr milliseconds lapseHold{2000};
+
+    /** Takes over one record; true when the set of usable servers, or what is known of one, changed. */
+    bool apply(const backend_record &record, time_point now);
+
+    /** Takes over a complete listing up to @p end; servers that it lacks are gone. */
+    bool replaceAll(const std::vector<backend_record> &listing, store_offset end, time_point now);
+
+    /** Notes that the store answers again after an outage. */
+    void noteStoreReturned(time_point now);
+
+    /** Forgets servers whose time to register again is over; true when there was one. */
+    bool expireLapsed(time_point now);
+
+    /** Servers that may receive work, by id. */
+    std::map<std::string, backend_server> usable() const;
+
+    /** Records with offsets from @p from on, for peers. */
+    std::vector<backend_record> since(store_offset from) const;
+
+    /** Offset up to which all records have been applied. */
+    store_offset end() const;
+
+    /** Moves the end to @p end; it never moves back. */
+    void advanceTo(store_offset end);
+
+private:
+    struct entry
+    {
+        std::optional<backend_server> server;
+        store_offset offset = 0;
+        /** Set on a gone server: the report that it must exceed to come back. */
+        std::int64_t lastBornMs = 0;
+        std::uint64_t lastSequence = 0;
+        bool gone = false;
+        /** Set while a lapsed server may still register again. */
+        std::optional<time_point> lapsedUntil;
+    };
+
+    bool applyReport(entry &known, const backend_server &report);
+    bool applyRemoval(entry &known, time_point now);
+
+    std::map<std::string, entry> m_entries;
+    store_offset m_end = 0;
+    std::optional<time_point> m_holdLapsesUntil;
+};
+
+}
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/backendserver.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * One backend server as it described itself last.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/socketaddress.h"
+
+#include <cstdint>
+#include <string>
+
+namespace cardamomdeck {
+
+/** Offset of a record in a partition of the store. */
+using store_offset = std::uint64_t;
+
+/** A registered backend server. */
+struct backend_server
+{
+    /** Unique among the backend servers that live now; may be used again after a restart. */
+    std::string id;
+    std::string service;
+    std::string zone;
+    socket_address address;
+    /** Requests that it works on at once. */
+    std::uint32_t slots = 1;
+    /** It is shutting down and takes no new work. */
+    bool draining = false;
+    /** Unix time of its start in milliseconds; orders incarnations of one id. */
+    std::int64_t bornMs = 0;
+    /** Counts its reports since its start. */
+    std::uint64_t sequence = 0;
+    /** It works slowly until then. */
+    time_point warmUntil;
+
+    bool operator==(const backend_server &) const = default;
+};
+
+/** True when @p a was reported before @p b; incarnations first, then reports of one incarnation. */
+inline bool isReportedBefore(const backend_server &a, const backend_server &b)
+{
+    return a.bornMs != b.bornMs ? a.bornMs < b.bornMs : a.sequence < b.sequence;
+}
+
+}
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetview.h
@@ -0,0 +1,36 @@
+/**
+ * @file
+ * Everything that the request path needs to know of the fleet, as one immutable value.
+ */
+#pragma once
+
+#include "cardamomdeck/fleet/backendserver.h"
+#include "cardamomdeck/fleet/membertable.h"
+#include "cardamomdeck/fleet/trafficconfig.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** Configuration, backend servers and members at one moment. */
+struct fleet_view
+{
+    /** Never null; version 0 before a configuration is known. */
+    traffic_config_ptr config = std::make_shared<traffic_config>();
+    /** Backend servers that may receive work, by service and id. */
+    std::map<std::string, std::map<std::string, backend_server>> backends;
+    /** Entries that callers may use. */
+    std::vector<fleet_member> readyMembers;
+    /** Live entries, this one included; shares of fleet-wide budgets are divided by it. */
+    std::size_t liveMembers = 1;
+
+    bool operator==(const fleet_view &) const = default;
+};
+
+using fleet_view_ptr = std::shared_ptr<const fleet_view>;
+
+}
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -0,0 +1,53 @@
+/**
+ * @file
+ * Decides when an entry reads the store itself instead of waiting for what its peers pass on.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+
+#include <cstddef>
+
+namespace cardamomdeck {
+
+/**
+ * Readers are not elected. Every entry may read once its view is older than a
+ * limit that grows with its rank among the live entries. The first by rank
+ * reads and passes its view on, which keeps the others below their limits; if
+ * it falls silent, the next one's limit is reached a moment later.
+ */
+class read_schedule
+{
+public:
+    /** Age at which the first entry reads; leaves room for two silent readers within the promise of 2 s. */
+    static constexpr milliseconds firstAge{700};
+    /** Added for each rank, so that a reader's news overtakes the next reader. */
+    static constexpr milliseconds ageStep{150};
+    /** Age at which every entry reads, whatever its rank. */
+    static constexpr milliseconds lastAge{1350};
+    /** Pause after a first failed read; doubles up to longestPause. */
+    static constexpr milliseconds shortestPause{400};
+    static constexpr milliseconds longestPause{1600};
+
+    /** Notes that the view was known to be complete at @p at. */
+    void noteFresh(time_point at);
+
+    /** Notes a read of this entry that failed at @p now. */
+    void noteFailure(time_point now);
+
+    /** Notes a read of this entry that succeeded. */
+    void noteSuccess();
+
+    /** When the entry of rank @p rank, counted from 0, should read next. */
+    time_point nextRead(std::size_t rank) const;
+
+    /** The last moment at which the view was known to be complete. */
+    time_point freshAt() const;
+
+private:
+    time_point m_freshAt;
+    time_point m_pausedUntil;
+    milliseconds m_pause{0};
+};
+
+}
--- /dev/null
+++ b/libs/fleet/src/backendregistry.cpp
@@ -0,0 +1,128 @@
+#include "cardamomdeck/fleet/backendregistry.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cardamomdeck {
+
+bool backend_registry::apply(const backend_record &record, time_point now)
+{
+    const auto found = m_entries.find(record.id);
+    if (found != m_entries.end() && record.offset < found->second.offset) {
+        return false;
+    }
+    if (found == m_entries.end() && !record.server) {
+        return false;
+    }
+    entry &known = m_entries[record.id];
+    known.offset = record.offset;
+    return record.server ? applyReport(known, *record.server) : applyRemoval(known, now);
+}
+
+bool backend_registry::applyReport(entry &known, const backend_server &report)
+{
+    const bool late = report.bornMs < known.lastBornMs
+                      || (report.bornMs == known.lastBornMs && report.sequence <= known.lastSequence);
+    if (late) {
+        return false;
+    }
+    const bool sameIncarnation = known.server && known.server->bornMs == report.bornMs;
+    backend_server next = report;
+    // A server that has begun to shut down does not change its mind before it restarts.
+    next.draining = report.draining || (sameIncarnation && known.server->draining);
+    const bool changed = known.gone || !known.server || known.server->service != next.service
+                         || known.server->zone != next.zone || known.server->address != next.address
+                         || known.server->slots != next.slots || known.server->draining != next.draining
+                         || known.server->bornMs != next.bornMs;
+    known.lastBornMs = next.bornMs;
+    known.lastSequence = next.sequence;
+    known.server = std::move(next);
+    known.gone = false;
+    known.lapsedUntil.reset();
+    return changed;
+}
+
+bool backend_registry::applyRemoval(entry &known, time_point now)
+{
+    if (known.gone) {
+        return false;
+    }
+    known.gone = true;
+    const bool draining = known.server && known.server->draining;
+    if (!draining && m_holdLapsesUntil && now < *m_holdLapsesUntil) {
+        known.lapsedUntil = m_holdLapsesUntil;
+        return false;
+    }
+    return true;
+}
+
+bool backend_registry::replaceAll(const std::vector<backend_record> &listing, store_offset end, time_point now)
+{
+    std::set<std::string> listed;
+    bool changed = false;
+    for (const backend_record &record : listing) {
+        listed.insert(record.id);
+        changed = apply(record, now) || changed;
+    }
+    for (auto &[id, known] : m_entries) {
+        if (!listed.contains(id) && known.offset < end) {
+            known.offset = end;
+            changed = applyRemoval(known, now) || changed;
+        }
+    }
+    advanceTo(end);
+    return changed;
+}
+
+void backend_registry::noteStoreReturned(time_point now)
+{
+    m_holdLapsesUntil = now + lapseHold;
+}
+
+bool backend_registry::expireLapsed(time_point now)
+{
+    bool changed = false;
+    for (auto &[id, known] : m_entries) {
+        if (known.lapsedUntil && *known.lapsedUntil <= now) {
+            known.lapsedUntil.reset();
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+std::map<std::string, backend_server> backend_registry::usable() const
+{
+    std::map<std::string, backend_server> servers;
+    for (const auto &[id, known] : m_entries) {
+        const bool present = known.server && (!known.gone || known.lapsedUntil);
+        if (present && !known.server->draining) {
+            servers.emplace(id, *known.server);
+        }
+    }
+    return servers;
+}
+
+std::vector<backend_record> backend_registry::since(store_offset from) const
+{
+    std::vector<backend_record> records;
+    for (const auto &[id, known] : m_entries) {
+        if (known.offset >= from) {
+            records.push_back({id, known.offset, known.gone ? std::nullopt : known.server});
+        }
+    }
+    std::ranges::sort(records, {}, &backend_record::offset);
+    return records;
+}
+
+store_offset backend_registry::end() const
+{
+    return m_end;
+}
+
+void backend_registry::advanceTo(store_offset end)
+{
+    m_end = std::max(m_end, end);
+}
+
+}
--- /dev/null
+++ b/libs/fleet/src/readschedule.cpp
@@ -0,0 +1,35 @@
+#include "cardamomdeck/fleet/readschedule.h"
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+void read_schedule::noteFresh(time_point at)
+{
+    m_freshAt = std::max(m_freshAt, at);
+}
+
+void read_schedule::noteFailure(time_point now)
+{
+    m_pause = std::clamp(m_pause * 2, shortestPause, longestPause);
+    m_pausedUntil = now + m_pause;
+}
+
+void read_schedule::noteSuccess()
+{
+    m_pause = milliseconds(0);
+}
+
+time_point read_schedule::nextRead(std::size_t rank) const
+{
+    const auto steps = static_cast<milliseconds::rep>(rank);
+    const milliseconds age = std::min(lastAge, firstAge + ageStep * steps);
+    return std::max(m_freshAt + age, m_pausedUntil);
+}
+
+time_point read_schedule::freshAt() const
+{
+    return m_freshAt;
+}
+
+}
--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace cardamomdeck {
@@ -28,6 +29,15 @@
     std::uint64_t bodyBytes = 1024U * 1024U;
 };
 
+/** Which answers an exchange takes for its own. */
+struct answer_rules
+{
+    /** False for an answer to somebody else's request, which is skipped. Null accepts every answer. */
+    std::function<bool(const http_response &)> accepts;
+    /** Accepts answers whose end is the end of the connection; a reset is never taken for that end. */
+    bool unframed = false;
+};
+
 /** How an exchange ended. */
 struct exchange_result
 {
@@ -56,11 +66,13 @@
     boost::asio::awaitable<result_code> connect(socket_address address, time_point deadline);
 
     /**
-     * Sends @p request and receives the whole answer.
+     * Sends @p request and receives the whole answer, which may come before
+     * the request is sent completely; then the connection is closed.
      * Errors: deadline_passed, answer_cut, answer_malformed, answer_too_large,
      * connection_lost.
      */
-    boost::asio::awaitable<exchange_result> exchange(http_request request, message_limits limits, time_point deadline);
+    boost::asio::awaitable<exchange_result>
+    exchange(http_request request, message_limits limits, time_point deadline, answer_rules rules = {});
 
     /** True when the connection is open and between exchanges, as far as is known without asking the system. */
     bool isIdle() const;
@@ -76,7 +88,11 @@
 
 private:
     struct state;
-    std::unique_ptr<state> m_state;
+    boost::asio::awaitable<bool> send(const http_request &request, exchange_result &result);
+    boost::asio::awaitable<result_code>
+    receive(const http_request &request, message_limits limits, const answer_rules &rules, http_response &response);
+
+    std::shared_ptr<state> m_state;
 };
 
 /** Connects, sends @p request once and closes. Errors: as connect() and exchange(). */
--- a/libs/http/include/cardamomdeck/http/httpserver.h
+++ b/libs/http/include/cardamomdeck/http/httpserver.h
@@ -35,15 +35,24 @@
 struct server_options
 {
     message_limits limits;
-    /** Longest time between two requests of a connection, and for reading or writing one message. */
+    /** Longest time between two requests of a connection. */
     milliseconds idleTimeout{60'000};
+    /** Longest time for reading the head of a request. */
+    milliseconds headTimeout{10'000};
+    /** Longest time without progress while a body is read or an answer is written. */
     milliseconds messageTimeout{10'000};
     std::size_t maxConnections = 16'384;
+    /** Requests of one connection that are served at once; further ones wait unread. */
+    std::size_t pipelineDepth = 1;
     /** Builds the answer to a request that could not be read. */
     std::function<http_response(result_code)> rejection;
 };
 
-/** Accepts connections and serves each with a coroutine on one executor. */
+/**
+ * Accepts connections and serves each on one executor. Requests that a caller
+ * sends before earlier ones are answered are served at once, up to a depth;
+ * answers are written in the order of the requests.
+ */
 class http_server
 {
 public:
@@ -58,6 +67,12 @@
     /** Binds @p address and starts to accept. Errors: port_in_use. */
     result_code listen(const socket_address &address);
 
+    /** Replaces the limits and timeouts; they hold from the next request of each connection. */
+    void setLimits(message_limits limits, milliseconds headTimeout, milliseconds idleTimeout);
+
+    /** Closes each connection after its next answer, and goes on accepting. */
+    void closeAfterAnswers();
+
     /** Stops accepting, and closes each connection after the answer that it is waiting for. */
     void stopGracefully();
 
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -1,6 +1,8 @@
 #include "cardamomdeck/http/httpconnection.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,6 +12,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -27,6 +31,12 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+/** Requests with bodies up to this size, in bytes, are written before the answer is read. */
+constexpr std::size_t directWriteBytes = 16U * 1024U;
+
+/** Time in milliseconds after which sent data that the other end does not acknowledge ends the connection. */
+constexpr int unacknowledgedLimitMs = 3000;
+
 using response_parser = http::response_parser<http::string_body>;
 
 result_code codeOfReadError(const beast::error_code &error)
@@ -67,10 +77,12 @@
     time_point lastProof;
     bool open = false;
     bool busy = false;
+    /** A long request is still being sent. */
+    bool writing = false;
 };
 
 http_connection::http_connection(const asio::any_io_executor &executor)
-    : m_state(std::make_unique<state>(executor))
+    : m_state(std::make_shared<state>(executor))
 {
 }
 
@@ -92,55 +104,97 @@
     }
     beast::error_code ignored;
     m_state->stream.socket().set_option(tcp::no_delay(true), ignored);
+    ::setsockopt(m_state->stream.socket().native_handle(),
+                 IPPROTO_TCP,
+                 TCP_USER_TIMEOUT,
+                 &unacknowledgedLimitMs,
+                 sizeof unacknowledgedLimitMs);
     m_state->open = true;
     m_state->lastProof = steady::now();
     co_return result_code::ok;
 }
 
-asio::awaitable<exchange_result>
-http_connection::exchange(http_request request, message_limits limits, time_point deadline)
+asio::awaitable<bool> http_connection::send(const http_request &request, exchange_result &result)
 {
-    exchange_result result;
-    m_state->busy = true;
-    m_state->stream.expires_at(deadline);
+    const std::shared_ptr<state> state = m_state;
     result.bytesSent = true;
-    const auto [writeError, written] = co_await http::async_write(m_state->stream, request, asTuple);
-    if (writeError) {
-        result.bytesSent = written > 0 || writeError == beast::error::timeout;
-        result.code = writeError == beast::error::timeout ? result_code::deadline_passed : result_code::connection_lost;
-        close();
-        co_return result;
+    if (request.body().size() > directWriteBytes) {
+        // The other end may answer before it has read all of a long request.
+        state->writing = true;
+        asio::co_spawn(
+            state->stream.get_executor(),
+            [state, copy = request]() -> asio::awaitable<void> {
+                co_await http::async_write(state->stream, copy, asTuple);
+                state->writing = false;
+            },
+            asio::detached);
+        co_return true;
+    }
+    const auto [error, written] = co_await http::async_write(state->stream, request, asTuple);
+    if (!error) {
+        co_return true;
     }
+    result.bytesSent = written > 0 || error == beast::error::timeout;
+    result.code = error == beast::error::timeout ? result_code::deadline_passed : result_code::connection_lost;
+    co_return false;
+}
+
+asio::awaitable<result_code> http_connection::receive(const http_request &request,
+                                                      message_limits limits,
+                                                      const answer_rules &rules,
+                                                      http_response &response)
+{
+    const std::shared_ptr<state> state = m_state;
     for (;;) {
         response_parser parser;
         parser.header_limit(limits.headBytes);
         parser.body_limit(limits.bodyBytes);
         parser.skip(request.method() == http::verb::head);
-        const auto [readError, received] = co_await http::async_read(m_state->stream, m_state->buffer, parser, asTuple);
-        if (readError) {
-            result.code = codeOfReadError(readError);
-            close();
-            co_return result;
+        const auto [error, received] = co_await http::async_read(state->stream, state->buffer, parser, asTuple);
+        if (error) {
+            co_return codeOfReadError(error);
         }
         if (isInterim(parser)) {
             continue;
         }
-        if (parser.need_eof() && !parser.get().body().empty()) {
+        const bool unframed = parser.need_eof();
+        if (unframed && !rules.unframed && !parser.get().body().empty()) {
             // The end of such a body cannot be told from a cut.
-            result.code = result_code::answer_malformed;
-            close();
-            co_return result;
+            co_return result_code::answer_malformed;
         }
-        const bool keepAlive = parser.keep_alive();
-        result.response = parser.release();
-        m_state->lastProof = steady::now();
-        m_state->busy = false;
+        if (rules.accepts && !rules.accepts(parser.get())) {
+            if (unframed) {
+                co_return result_code::connection_lost;
+            }
+            continue;
+        }
+        const bool reusable = parser.keep_alive() && !unframed && !state->writing;
+        response = parser.release();
+        state->lastProof = steady::now();
+        state->busy = false;
         // Bytes beyond the answer belong to nobody; the next request must not take them for its own.
-        if (!keepAlive || m_state->buffer.size() > 0) {
+        if (!reusable || state->buffer.size() > 0) {
             close();
         }
+        co_return result_code::ok;
+    }
+}
+
+asio::awaitable<exchange_result>
+http_connection::exchange(http_request request, message_limits limits, time_point deadline, answer_rules rules)
+{
+    exchange_result result;
+    m_state->busy = true;
+    m_state->stream.expires_at(deadline);
+    if (!co_await send(request, result)) {
+        close();
         co_return result;
     }
+    result.code = co_await receive(request, limits, rules, result.response);
+    if (result.code != result_code::ok) {
+        close();
+    }
+    co_return result;
 }
 
 bool http_connection::isIdle() const
--- /dev/null
+++ b/libs/http/src/private/serverconnection.h
@@ -0,0 +1,102 @@
+/**
+ * @file
+ * One connection of the HTTP server.
+ */
+#pragma once
+
+#include "cardamomdeck/http/httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace cardamomdeck {
+
+/** What the connections of a server share. */
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+    state(boost::asio::any_io_executor serverExecutor, handler serverHandler, server_options serverOptions)
+        : executor(std::move(serverExecutor))
+        , acceptor(executor)
+        , handle(std::move(serverHandler))
+        , options(std::move(serverOptions))
+    {
+    }
+
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> sweepLoop();
+
+    boost::asio::any_io_executor executor;
+    boost::asio::ip::tcp::acceptor acceptor;
+    handler handle;
+    server_options options;
+    std::set<connection *> sessions;
+    /** Connections close after their next answer. */
+    bool closing = false;
+    bool stopped = false;
+};
+
+/** Reads requests ahead of their answers, which also shows at once when the caller closes the connection. */
+class http_server::connection : public std::enable_shared_from_this<http_server::connection>
+{
+public:
+    connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_server::state> server);
+    ~connection();
+
+    boost::asio::awaitable<void> run();
+
+    /** Closes the connection if it is between two requests. */
+    void closeIfIdle();
+
+    /** Ends what has taken too long at @p now. */
+    void sweep(time_point now);
+
+private:
+    class exchange;
+    using exchange_ptr = std::shared_ptr<exchange>;
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /** What is being read. */
+    enum class read_phase {
+        idle,
+        head,
+        body,
+        rest, /**< Nothing more is served; whatever comes is dropped. */
+    };
+
+    boost::asio::awaitable<bool> readFirstBytes();
+    boost::asio::awaitable<bool> readHead(request_parser &parser);
+    boost::asio::awaitable<bool> readBody(request_parser &parser);
+    boost::asio::awaitable<bool> readRequest();
+    boost::asio::awaitable<void> dropRest();
+    boost::asio::awaitable<void> waitForRoom();
+    boost::asio::awaitable<void> writeAnswers();
+    void serve(exchange_ptr entry);
+    void reject(boost::beast::error_code error);
+    void answered();
+    void noteCallerGone();
+    void enter(read_phase phase);
+    void close();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::shared_ptr<http_server::state> m_server;
+    /** Requests without a written answer, oldest first. */
+    std::deque<exchange_ptr> m_pending;
+    boost::asio::steady_timer m_room;
+    read_phase m_phase = read_phase::idle;
+    time_point m_readUntil;
+    std::optional<time_point> m_writeUntil;
+    bool m_writing = false;
+    bool m_timedOut = false;
+    bool m_lastRead = false;
+    bool m_closed = false;
+};
+
+}
--- /dev/null
+++ b/libs/http/src/serverconnection.cpp
@@ -0,0 +1,368 @@
+#include "private/serverconnection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Bytes read at once when a connection has been idle. */
+constexpr std::size_t firstReadBytes = 4096;
+
+/** Room in the buffer beyond the largest head, in bytes. */
+constexpr std::size_t bodyReadBytes = 65536;
+
+/** Time for which a closed connection is still read, so that its last answer is not lost by a reset. */
+constexpr milliseconds lingerTime{1000};
+
+result_code codeOfRequestError(const beast::error_code &error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return result_code::head_too_large;
+    }
+    if (error == http::error::body_limit) {
+        return result_code::body_too_large;
+    }
+    if (error == beast::error::timeout || error == http::error::partial_message) {
+        return result_code::request_incomplete;
+    }
+    return result_code::request_malformed;
+}
+
+bool isHttpError(const beast::error_code &error)
+{
+    return error.category() == make_error_code(http::error::bad_version).category();
+}
+
+}
+
+/** One request and its answer. */
+class http_server::connection::exchange : public http_session
+{
+public:
+    void watchCaller(std::function<void()> notify) override
+    {
+        callerGone = std::move(notify);
+    }
+
+    void abandon() override
+    {
+        abandoned = true;
+    }
+
+    http_request request;
+    std::optional<http_response> response;
+    std::function<void()> callerGone;
+    bool keepAlive = true;
+    bool abandoned = false;
+    bool served = false;
+};
+
+http_server::connection::connection(tcp::socket socket, std::shared_ptr<http_server::state> server)
+    : m_socket(std::move(socket))
+    , m_buffer(server->options.limits.headBytes + bodyReadBytes)
+    , m_server(std::move(server))
+    , m_room(m_socket.get_executor(), time_point::max())
+{
+    m_server->sessions.insert(this);
+    enter(read_phase::idle);
+}
+
+http_server::connection::~connection()
+{
+    m_server->sessions.erase(this);
+}
+
+void http_server::connection::enter(read_phase phase)
+{
+    m_phase = phase;
+    const server_options &options = m_server->options;
+    const time_point now = steady::now();
+    switch (phase) {
+    case read_phase::idle:
+        m_readUntil = now + options.idleTimeout;
+        return;
+    case read_phase::head:
+        m_readUntil = now + options.headTimeout;
+        return;
+    case read_phase::body:
+        m_readUntil = now + options.messageTimeout;
+        return;
+    case read_phase::rest:
+        m_readUntil = time_point::max();
+        return;
+    }
+}
+
+asio::awaitable<void> http_server::connection::run()
+{
+    const auto self = shared_from_this();
+    beast::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    while (co_await readRequest()) {
+        co_await waitForRoom();
+    }
+    m_lastRead = true;
+    if (m_pending.empty() && m_phase != read_phase::rest) {
+        close();
+        co_return;
+    }
+    co_await dropRest();
+}
+
+asio::awaitable<void> http_server::connection::waitForRoom()
+{
+    while (!m_closed && m_pending.size() >= m_server->options.pipelineDepth && m_server->options.pipelineDepth > 1) {
+        co_await m_room.async_wait(asTuple);
+        m_room.expires_at(time_point::max());
+    }
+}
+
+asio::awaitable<void> http_server::connection::dropRest()
+{
+    enter(read_phase::rest);
+    char bytes[firstReadBytes];
+    for (;;) {
+        const auto [error, size] = co_await m_socket.async_read_some(asio::buffer(bytes), asTuple);
+        if (error) {
+            noteCallerGone();
+            close();
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> http_server::connection::readFirstBytes()
+{
+    enter(read_phase::idle);
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    const auto [error, size] = co_await m_socket.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+    m_buffer.commit(size);
+    if (error) {
+        noteCallerGone();
+        close();
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> http_server::connection::readHead(request_parser &parser)
+{
+    enter(read_phase::head);
+    const auto [error, size] = co_await http::async_read_header(m_socket, m_buffer, parser, asTuple);
+    if (!error) {
+        co_return true;
+    }
+    if (m_timedOut) {
+        reject(beast::error::timeout);
+    } else if (isHttpError(error) && error != http::error::end_of_stream && error != http::error::partial_message) {
+        reject(error);
+    } else {
+        noteCallerGone();
+        close();
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> http_server::connection::readBody(request_parser &parser)
+{
+    enter(read_phase::body);
+    if (m_pending.empty() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> interim(http::status::continue_, parser.get().version());
+        const auto [writeError, written] = co_await http::async_write(m_socket, interim, asTuple);
+        if (writeError) {
+            close();
+            co_return false;
+        }
+    }
+    while (!parser.is_done()) {
+        const auto [error, size] = co_await http::async_read_some(m_socket, m_buffer, parser, asTuple);
+        if (error) {
+            const bool ended = !m_timedOut && (!isHttpError(error) || error == http::error::partial_message);
+            if (ended) {
+                noteCallerGone();
+                close();
+            } else {
+                reject(m_timedOut ? beast::error_code(beast::error::timeout) : error);
+            }
+            co_return false;
+        }
+        enter(read_phase::body);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> http_server::connection::readRequest()
+{
+    if (!co_await readFirstBytes()) {
+        co_return false;
+    }
+    const message_limits limits = m_server->options.limits;
+    request_parser parser;
+    parser.header_limit(limits.headBytes);
+    parser.body_limit(limits.bodyBytes);
+    if (!co_await readHead(parser) || !co_await readBody(parser)) {
+        co_return false;
+    }
+    const auto entry = std::make_shared<exchange>();
+    entry->keepAlive = parser.keep_alive();
+    entry->request = parser.release();
+    m_pending.push_back(entry);
+    enter(read_phase::idle);
+    serve(entry);
+    co_return entry->keepAlive && !m_closed;
+}
+
+void http_server::connection::serve(exchange_ptr entry)
+{
+    asio::co_spawn(
+        m_server->executor,
+        [self = shared_from_this(), entry]() -> asio::awaitable<void> {
+            http_response response = co_await self->m_server->handle(entry->request, *entry);
+            response.version(entry->request.version());
+            entry->response = std::move(response);
+            entry->callerGone = nullptr;
+            self->answered();
+        },
+        asio::detached);
+}
+
+void http_server::connection::answered()
+{
+    if (m_writing || m_closed) {
+        return;
+    }
+    asio::co_spawn(
+        m_server->executor,
+        [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->writeAnswers(); },
+        asio::detached);
+}
+
+asio::awaitable<void> http_server::connection::writeAnswers()
+{
+    if (m_writing) {
+        co_return;
+    }
+    m_writing = true;
+    while (!m_closed && !m_pending.empty() && m_pending.front()->response) {
+        const exchange_ptr entry = m_pending.front();
+        if (entry->abandoned) {
+            close();
+            break;
+        }
+        http_response &response = *entry->response;
+        // A request that is being read, or waits behind, would be lost with the connection.
+        const bool quiet = m_pending.size() == 1 && m_phase == read_phase::idle && m_buffer.size() == 0;
+        response.keep_alive(entry->keepAlive && response.keep_alive() && !(m_server->closing && quiet));
+        m_writeUntil = steady::now() + m_server->options.messageTimeout;
+        const auto [error, size] = co_await http::async_write(m_socket, response, asTuple);
+        m_writeUntil.reset();
+        m_pending.pop_front();
+        if (error) {
+            noteCallerGone();
+            close();
+            break;
+        }
+        if (!response.keep_alive()) {
+            beast::error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            noteCallerGone();
+            m_pending.clear();
+            m_phase = read_phase::rest;
+            m_readUntil = steady::now() + lingerTime;
+            break;
+        }
+        if (m_phase == read_phase::idle) {
+            m_readUntil = steady::now() + m_server->options.idleTimeout;
+        }
+        m_room.cancel();
+    }
+    m_writing = false;
+}
+
+void http_server::connection::reject(beast::error_code error)
+{
+    m_phase = read_phase::rest;
+    m_readUntil = time_point::max();
+    if (!m_server->options.rejection) {
+        close();
+        return;
+    }
+    const auto entry = std::make_shared<exchange>();
+    entry->keepAlive = false;
+    entry->response = m_server->options.rejection(codeOfRequestError(error));
+    m_pending.push_back(entry);
+    answered();
+}
+
+void http_server::connection::noteCallerGone()
+{
+    for (const exchange_ptr &entry : m_pending) {
+        if (const auto notify = std::move(entry->callerGone)) {
+            entry->callerGone = nullptr;
+            notify();
+        }
+    }
+}
+
+void http_server::connection::closeIfIdle()
+{
+    if (m_phase == read_phase::idle && m_pending.empty() && m_buffer.size() == 0) {
+        close();
+    }
+}
+
+void http_server::connection::sweep(time_point now)
+{
+    if (m_writeUntil && now >= *m_writeUntil) {
+        noteCallerGone();
+        close();
+        return;
+    }
+    if (now < m_readUntil) {
+        return;
+    }
+    switch (m_phase) {
+    case read_phase::idle:
+        if (m_pending.empty()) {
+            close();
+        }
+        return;
+    case read_phase::head:
+    case read_phase::body:
+        if (m_pending.empty()) {
+            m_timedOut = true;
+            beast::error_code ignored;
+            m_socket.cancel(ignored);
+        }
+        return;
+    case read_phase::rest:
+        close();
+        return;
+    }
+}
+
+void http_server::connection::close()
+{
+    m_closed = true;
+    beast::error_code ignored;
+    m_socket.close(ignored);
+    m_room.cancel();
+}
+
+}
