--- a/daemon/entrysettings.cpp
+++ b/daemon/entrysettings.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::int64_t, snapshot_every, 512, "Log records after which a snapshot is written; 1 to 1000000.");
 ABSL_FLAG(std::int64_t, trace_percent, 1, "Requests of a hundred that are traced; failures always are. 0 to 100.");
 ABSL_FLAG(std::string, trace_file, "", "File for spans as Zipkin v2 JSON lines. Empty: memory only.");
+ABSL_FLAG(std::string, settings, "", "Settings file that a platform writes (TOML). Its values replace all other flags.");
 ABSL_FLAG(std::string, log_level, "INFO", "Least level that is logged: INFO, WARN or OFF.");
 
 namespace cardamomdeck {
@@ -106,12 +107,18 @@
                                      "snapshot_every",
                                      "trace_percent",
                                      "trace_file",
+                                     "settings",
                                      "log_level"});
     if (absl::ParseCommandLine(argc, argv).size() > 1) {
         check.faults.emplace_back("arguments without a flag are not understood");
     }
     settings_reader reader(check.faults);
     entry_settings &settings = check.settings;
+    settings.platformFile = absl::GetFlag(FLAGS_settings);
+    settings.logLevel = reader.level(absl::GetFlag(FLAGS_log_level));
+    if (!settings.platformFile.empty()) {
+        return check;
+    }
     settings.name = reader.required("name", absl::GetFlag(FLAGS_name));
     settings.zone = reader.required("zone", absl::GetFlag(FLAGS_zone));
     settings.traffic = reader.address("traffic_address", absl::GetFlag(FLAGS_traffic_address));
@@ -129,7 +136,6 @@
     settings.tracePercent = static_cast<std::uint32_t>(
         reader.number("trace_percent", absl::GetFlag(FLAGS_trace_percent), 0, wholePercent));
     settings.traceFile = absl::GetFlag(FLAGS_trace_file);
-    settings.logLevel = reader.level(absl::GetFlag(FLAGS_log_level));
     return check;
 }
 
--- a/daemon/entrysettings.h
+++ b/daemon/entrysettings.h
@@ -35,6 +35,8 @@
     /** Where spans are written; empty keeps them in memory only. */
     std::string traceFile;
     std::string logLevel;
+    /** Settings file of a platform; when it is set, the other values are not used. */
+    std::string platformFile;
 
     bool operator==(const entry_settings &) const = default;
 };
--- /dev/null
+++ b/daemon/gateway/backendprober.cpp
@@ -0,0 +1,176 @@
+#include "backendprober.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/platform/exchangeheaders.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Longest time that a probe may take before its connection is given up. */
+constexpr milliseconds probeTimeout{400};
+
+/** Age of the last proof of life above which an idle connection is not used; servers close idle ones after 10 s. */
+constexpr milliseconds idleLimit{8000};
+
+/** Time for which a server that takes no work, or has lost its address, is left alone. */
+constexpr milliseconds avoidTime{1000};
+
+constexpr message_limits probeLimits{16U * 1024U, 64U * 1024U};
+
+void avoid(backend_traffic &backend, const char *reason, const std::string &answeredBy)
+{
+    const time_point now = steady::now();
+    if (backend.avoidedUntil <= now) {
+        log_line("backend_avoided")
+            .add("backend", backend.server.id)
+            .add("reason", reason)
+            .add("answered_by", answeredBy)
+            .info();
+    }
+    backend.avoidedUntil = now + avoidTime;
+}
+
+}
+
+/** Results of probes that were sent together. */
+struct backend_prober::round
+{
+    explicit round(asio::io_context &context)
+        : wake(context)
+    {
+    }
+
+    std::vector<probe_result> results;
+    std::size_t pending = 0;
+    asio::steady_timer wake;
+    /** Nobody waits any more; connections go back to the pool. */
+    bool over = false;
+};
+
+backend_prober::backend_prober(asio::io_context &context, connection_pool &pool)
+    : m_context(context)
+    , m_pool(pool)
+{
+}
+
+asio::awaitable<connection_ptr> backend_prober::connect(backend_traffic_ptr backend, time_point deadline)
+{
+    connection_ptr connection = m_pool.create();
+    const result_code code = co_await connection->connect(backend->server.address, deadline);
+    co_return code == result_code::ok ? connection : nullptr;
+}
+
+asio::awaitable<probe_result> backend_prober::exchangeProbe(service_traffic_ptr service, backend_traffic_ptr backend)
+{
+    probe_result result;
+    result.backend = backend;
+    const time_point deadline = steady::now() + probeTimeout;
+    connection_ptr connection = m_pool.takeIdle(backend->server.id, steady::now() - idleLimit);
+    bool reused = connection != nullptr;
+    for (;;) {
+        if (!connection) {
+            connection = co_await connect(backend, deadline);
+        }
+        if (!connection) {
+            co_return result;
+        }
+        ++service->probes;
+        answer_rules rules;
+        rules.accepts = platform::mayAnswerProbe;
+        http_request request = platform::makeProbe(service->profile.healthPath, toString(backend->server.address));
+        const exchange_result exchange =
+            co_await connection->exchange(std::move(request), probeLimits, deadline, std::move(rules));
+        if (exchange.code != result_code::ok) {
+            if (reused && exchange.code != result_code::deadline_passed) {
+                // The server had closed the idle connection.
+                connection = nullptr;
+                reused = false;
+                continue;
+            }
+            co_return result;
+        }
+        const platform::probe_answer answer = platform::decodeProbe(exchange.response);
+        result.answered = true;
+        if (!answer.backendId.empty() && answer.backendId != backend->server.id) {
+            avoid(*backend, "wrong_server", answer.backendId);
+            connection->close();
+            co_return result;
+        }
+        if (!answer.healthy) {
+            avoid(*backend, "unhealthy", answer.backendId);
+            m_pool.giveBack(backend->server.id, connection);
+            co_return result;
+        }
+        result.load = answer.load;
+        result.sentBefore = backend->sent;
+        result.connection = connection->isIdle() ? connection : nullptr;
+        co_return result;
+    }
+}
+
+asio::awaitable<void> backend_prober::probeOne(service_traffic_ptr service,
+                                               backend_traffic_ptr backend,
+                                               std::shared_ptr<round> results)
+{
+    probe_result result = co_await exchangeProbe(service, backend);
+    if (!result.answered) {
+        backend->health.noteFailure(steady::now());
+    } else if (result.load) {
+        service->pace.add(result.load->pace);
+        service->probesWithoutLoad = 0;
+    } else {
+        ++service->probesWithoutLoad;
+    }
+    --results->pending;
+    if (results->over) {
+        if (result.connection) {
+            m_pool.giveBack(backend->server.id, result.connection);
+        }
+        co_return;
+    }
+    results->results.push_back(std::move(result));
+    results->wake.cancel();
+}
+
+asio::awaitable<std::vector<probe_result>> backend_prober::probe(service_traffic_ptr service,
+                                                                 std::vector<backend_traffic_ptr> backends,
+                                                                 milliseconds patience,
+                                                                 time_point deadline)
+{
+    const auto results = std::make_shared<round>(m_context);
+    results->pending = backends.size();
+    for (const backend_traffic_ptr &backend : backends) {
+        asio::co_spawn(m_context, probeOne(service, backend, results), asio::detached);
+    }
+    const time_point patient = steady::now() + patience;
+    while (results->pending > 0) {
+        const bool anyAnswer = !results->results.empty();
+        const time_point until = anyAnswer ? std::min(patient, deadline) : deadline;
+        if (steady::now() >= until) {
+            break;
+        }
+        results->wake.expires_at(until);
+        co_await results->wake.async_wait(asTuple);
+    }
+    results->over = true;
+    std::vector<probe_result> answered;
+    for (probe_result &result : results->results) {
+        if (result.answered) {
+            answered.push_back(std::move(result));
+        }
+    }
+    co_return answered;
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -0,0 +1,352 @@
+#include "fleetcontrol.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/platform/recordcodec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <ctime>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using platform::store_topic;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Period of heartbeats; a quarter of the silence after which a member counts as down. */
+constexpr milliseconds heartbeatPeriod{400};
+
+/** Longest time for one call to the store; a slow store answers within some 0.3 s. */
+constexpr milliseconds storeTimeout{900};
+
+/** Pause before the entry announces itself to the store again. */
+constexpr milliseconds announcePause{1500};
+
+/** Jump between the clocks above which the process counts as having been suspended. */
+constexpr milliseconds suspensionLimit{300};
+
+/** Time for which the machine has been suspended since its start, up to a constant. */
+nanoseconds suspendedTotal()
+{
+    timespec withSuspension{};
+    timespec without{};
+    clock_gettime(CLOCK_BOOTTIME, &withSuspension);
+    clock_gettime(CLOCK_MONOTONIC, &without);
+    return seconds(withSuspension.tv_sec - without.tv_sec) + nanoseconds(withSuspension.tv_nsec - without.tv_nsec);
+}
+
+fleet_member makeSelf(const platform::platform_settings &settings)
+{
+    return {settings.vmName, settings.zone, settings.host, unixMilliseconds(), false};
+}
+
+/** The decoded record, or nothing and a log line when it comes from another writer. */
+template<typename decoder>
+auto decodeOrLog(const std::string &key, store_offset offset, decoder decode)
+    -> std::optional<std::decay_t<decltype(*decode())>>
+{
+    using value = std::decay_t<decltype(*decode())>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<value>> {
+            BOOST_LEAF_AUTO(decoded, decode());
+            return std::optional<value>(std::move(decoded));
+        },
+        [&](const failure &error) {
+            log_line("record_rejected")
+                .add("code", infoOf(error.code).name)
+                .add("key", key)
+                .add("offset", offset)
+                .add("detail", error.detail)
+                .warn();
+            return std::optional<value>();
+        },
+        [] { return std::optional<value>(); });
+}
+
+}
+
+fleet_control::fleet_control(asio::io_context &context,
+                             const platform::platform_settings &settings,
+                             publisher publish)
+    : m_context(context)
+    , m_settings(settings)
+    , m_publish(std::move(publish))
+    , m_state(makeSelf(settings))
+    , m_link(context, m_state)
+    , m_store(context.get_executor(), settings.store)
+    , m_readTimer(context)
+{
+    m_link.onNotice([this](const peer_notice &notice) { hear(notice); });
+}
+
+result_code fleet_control::start()
+{
+    const result_code code = m_link.start(m_settings.host, m_settings.peerPort);
+    if (code != result_code::ok) {
+        return code;
+    }
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await readLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await heartbeatLoop(); }, asio::detached);
+    return code;
+}
+
+asio::awaitable<void> fleet_control::announceSelf()
+{
+    for (;;) {
+        const time_point deadline = steady::now() + storeTimeout;
+        const std::string record = platform::encodeMember(m_state.members().self());
+        const result_code written = co_await m_store.write(store_topic::members, m_settings.vmName, record, deadline);
+        if (written == result_code::ok) {
+            // Every entry writes before it reads, so that of two that start together one sees the other.
+            const platform::keyed_read read = co_await m_store.readNewest(store_topic::members, deadline);
+            if (read.code == result_code::ok) {
+                for (const platform::keyed_record &item : read.records) {
+                    const auto member = decodeOrLog(
+                        item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
+                    if (member) {
+                        m_state.members().learned(*member, steady::now());
+                    }
+                }
+                log_line("members_read").add("count", read.records.size()).info();
+                broadcast();
+                co_return;
+            }
+        }
+        noteStore(false);
+        co_await sleepUntil(steady::now() + announcePause);
+    }
+}
+
+asio::awaitable<void> fleet_control::readLoop()
+{
+    co_await readStore();
+    co_await announceSelf();
+    for (;;) {
+        const time_point due = m_state.nextRead(steady::now());
+        if (due <= steady::now()) {
+            co_await readStore();
+            continue;
+        }
+        m_readTimer.expires_at(due);
+        co_await m_readTimer.async_wait(asTuple);
+    }
+}
+
+asio::awaitable<bool> fleet_control::readStore()
+{
+    store_reading reading;
+    reading.startedAt = steady::now();
+    const time_point deadline = reading.startedAt + storeTimeout;
+    const view_position before = m_state.position();
+    const bool read = co_await readConfig(reading, deadline) && co_await readBackends(reading, deadline);
+    noteStore(read);
+    if (!read) {
+        m_state.noteReadFailed(steady::now());
+        co_return false;
+    }
+    const bool changed = m_state.applyReading(reading, steady::now());
+    if (changed) {
+        const view_position position = m_state.position();
+        log_line("view_changed")
+            .add("source", "store")
+            .add("config_from", before.configVersion)
+            .add("config", position.configVersion)
+            .add("backends_changed_at", position.backendsChangedAt)
+            .info();
+        publish();
+    }
+    broadcast();
+    co_return true;
+}
+
+asio::awaitable<bool> fleet_control::readConfig(store_reading &reading, time_point deadline)
+{
+    const view_position position = m_state.position();
+    platform::keyed_read read;
+    read.code = result_code::offset_expired;
+    if (position.configVersion > 0) {
+        read = co_await m_store.readFrom(store_topic::operator_config, position.configEnd, deadline);
+    }
+    if (read.code == result_code::offset_expired) {
+        read = co_await m_store.readNewest(store_topic::operator_config, deadline);
+    }
+    if (read.code != result_code::ok) {
+        co_return false;
+    }
+    reading.configEnd = read.end;
+    for (const platform::keyed_record &item : read.records) {
+        if (item.key != platform::configKey || !item.value) {
+            continue;
+        }
+        auto config = decodeOrLog(item.key, item.offset, [&] { return platform::decodeConfig(*item.value); });
+        if (config && (!reading.config || config->version > reading.config->version)) {
+            reading.config = std::move(config);
+            reading.configText = *item.value;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> fleet_control::readBackends(store_reading &reading, time_point deadline)
+{
+    const view_position position = m_state.position();
+    platform::keyed_read read;
+    read.code = result_code::offset_expired;
+    if (m_state.isComplete()) {
+        read = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEnd, deadline);
+    }
+    if (read.code == result_code::offset_expired) {
+        read = co_await m_store.readNewest(store_topic::backend_servers, deadline);
+        reading.completeListing = true;
+    }
+    if (read.code != result_code::ok) {
+        co_return false;
+    }
+    reading.backendsEnd = read.end;
+    const time_point now = steady::now();
+    for (platform::keyed_record &item : read.records) {
+        backend_record record{item.key, item.offset, std::nullopt};
+        if (item.value) {
+            record.server =
+                decodeOrLog(item.key, item.offset, [&] { return platform::decodeBackend(item.key, *item.value, now); });
+            if (!record.server) {
+                continue;
+            }
+        }
+        reading.backends.push_back(std::move(record));
+    }
+    co_return true;
+}
+
+void fleet_control::noteStore(bool available)
+{
+    if (available != m_storeAvailable) {
+        log_line(available ? "store_regained" : "store_lost").add("address", toString(m_settings.store)).warn();
+    }
+    m_storeAvailable = available;
+}
+
+void fleet_control::hear(const peer_notice &notice)
+{
+    const time_point now = steady::now();
+    const fleet_state::hearing heard = m_state.hear(notice, now);
+    if (heard.ask && !m_asking) {
+        m_asking = true;
+        asio::co_spawn(m_context, askPeer(notice), asio::detached);
+    }
+    if (!heard.memberChanged) {
+        return;
+    }
+    log_line("member_heard")
+        .add("member", notice.sender.name)
+        .add("ready", notice.sender.ready ? "true" : "false")
+        .add("born_ms", notice.sender.bornMs)
+        .info();
+    // A newcomer should not have to wait for the next heartbeat.
+    m_link.send(m_state.notice(now), {notice.sender.host});
+    publish();
+}
+
+asio::awaitable<void> fleet_control::askPeer(peer_notice notice)
+{
+    const time_point askedAt = steady::now();
+    const view_question question{m_state.position()};
+    const auto answer = co_await m_link.ask(notice.sender.host, question);
+    m_asking = false;
+    if (!answer) {
+        co_return;
+    }
+    std::optional<traffic_config> config;
+    if (answer->config) {
+        config = decodeOrLog(std::string(platform::configKey), answer->position.configEnd, [&] {
+            return platform::decodeConfig(*answer->config);
+        });
+    }
+    if (m_state.applyAnswer(*answer, std::move(config), notice.age, askedAt, steady::now())) {
+        log_line("view_changed")
+            .add("source", notice.sender.name)
+            .add("config_from", question.position.configVersion)
+            .add("config", m_state.position().configVersion)
+            .add("backends_changed_at", m_state.position().backendsChangedAt)
+            .add("age_ms", notice.age->count())
+            .info();
+        broadcast();
+    }
+    publish();
+}
+
+void fleet_control::broadcast()
+{
+    std::vector<std::string> hosts;
+    for (const fleet_member &peer : m_state.members().peers()) {
+        hosts.push_back(peer.host);
+    }
+    if (hosts.empty()) {
+        hosts = m_settings.seedHosts;
+        std::erase(hosts, m_settings.host);
+    }
+    m_link.send(m_state.notice(steady::now()), hosts);
+}
+
+asio::awaitable<void> fleet_control::heartbeatLoop()
+{
+    for (;;) {
+        co_await sleepUntil(steady::now() + heartbeatPeriod);
+        checkSuspension();
+        m_state.expire(steady::now());
+        broadcast();
+        publish();
+    }
+}
+
+void fleet_control::checkSuspension()
+{
+    const nanoseconds total = suspendedTotal();
+    if (m_suspendedTotal && total - *m_suspendedTotal > suspensionLimit) {
+        log_line("resumed").add("suspended_ms", toMilliseconds(total - *m_suspendedTotal)).warn();
+        m_state.noteSuspended(steady::now());
+        m_readTimer.cancel();
+    }
+    m_suspendedTotal = total;
+}
+
+void fleet_control::publish()
+{
+    fleet_view_ptr view = m_state.view(steady::now());
+    if (m_published && *m_published == *view) {
+        return;
+    }
+    m_published = view;
+    m_publish(view);
+}
+
+void fleet_control::startLeaving()
+{
+    m_state.startLeaving();
+    broadcast();
+    publish();
+}
+
+const fleet_state &fleet_control::state() const
+{
+    return m_state;
+}
+
+std::uint64_t fleet_control::storeCalls() const
+{
+    return m_store.calls();
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/fleetcontrol.h
@@ -0,0 +1,75 @@
+/**
+ * @file
+ * Keeps one entry's view of the fleet current: reads the store, listens to peers, and publishes views.
+ */
+#pragma once
+
+#include "peerlink.h"
+
+#include "cardamomdeck/fleet/fleetstate.h"
+#include "cardamomdeck/platform/platformsettings.h"
+#include "cardamomdeck/platform/storeclient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** Runs on the control thread. */
+class fleet_control
+{
+public:
+    using publisher = std::function<void(const fleet_view_ptr &)>;
+
+    /** Control of the entry with @p settings; hands each new view to @p publish. */
+    fleet_control(boost::asio::io_context &context,
+                  const platform::platform_settings &settings,
+                  publisher publish);
+
+    /** Starts to listen and to read. Errors: port_in_use. */
+    result_code start();
+
+    /** Tells the peers that this entry shuts down. */
+    void startLeaving();
+
+    /** What is known; for status answers. */
+    const fleet_state &state() const;
+
+    /** Calls made to the store. */
+    std::uint64_t storeCalls() const;
+
+private:
+    boost::asio::awaitable<void> announceSelf();
+    boost::asio::awaitable<void> readLoop();
+    boost::asio::awaitable<void> heartbeatLoop();
+    boost::asio::awaitable<bool> readStore();
+    boost::asio::awaitable<bool> readConfig(store_reading &reading, time_point deadline);
+    boost::asio::awaitable<bool> readBackends(store_reading &reading, time_point deadline);
+    boost::asio::awaitable<void> askPeer(peer_notice notice);
+    void hear(const peer_notice &notice);
+    void broadcast();
+    void noteStore(bool available);
+    void publish();
+    void checkSuspension();
+
+    boost::asio::io_context &m_context;
+    const platform::platform_settings &m_settings;
+    publisher m_publish;
+    fleet_state m_state;
+    peer_link m_link;
+    platform::store_client m_store;
+    boost::asio::steady_timer m_readTimer;
+    fleet_view_ptr m_published;
+    std::optional<nanoseconds> m_suspendedTotal;
+    bool m_asking = false;
+    bool m_storeAvailable = true;
+};
+
+}
--- /dev/null
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -0,0 +1,98 @@
+#include "gatewaydaemon.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr int exitPortInUse = 3;
+
+/** Part of the grace period after which new requests are refused, so that long ones can be finished. */
+constexpr double acceptPart = 0.5;
+
+/** Part of the grace period after which the process ends, whatever is still in hand. */
+constexpr double endPart = 0.93;
+
+/** Period in which the shutdown looks whether everything is finished. */
+constexpr milliseconds finishPoll{50};
+
+milliseconds partOf(milliseconds whole, double part)
+{
+    return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(whole.count()) * part));
+}
+
+}
+
+gateway_daemon::gateway_daemon(const platform::platform_settings &settings)
+    : m_settings(settings)
+    , m_path(m_context, settings)
+    , m_control(m_context, settings, [this](const fleet_view_ptr &view) { m_path.install(view); })
+{
+}
+
+int gateway_daemon::run()
+{
+    if (m_path.start() != result_code::ok || m_control.start() != result_code::ok) {
+        return exitPortInUse;
+    }
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await awaitSignal(); }, asio::detached);
+    log_line("entry_started")
+        .add("entry", m_settings.vmName)
+        .add("zone", m_settings.zone)
+        .add("traffic", toString(m_settings.traffic))
+        .info();
+    m_context.run();
+    log_line("entry_stopped").add("entry", m_settings.vmName).add("store_calls", m_control.storeCalls()).info();
+    return 0;
+}
+
+asio::awaitable<void> gateway_daemon::awaitSignal()
+{
+    asio::signal_set signals(m_context, SIGTERM, SIGINT, SIGHUP);
+    for (;;) {
+        const auto [error, number] = co_await signals.async_wait(asTuple);
+        if (error) {
+            co_return;
+        }
+        if (number != SIGHUP) {
+            break;
+        }
+        log_line("settings_reread").add("entry", m_settings.vmName).info();
+    }
+    co_await leave();
+    m_context.stop();
+}
+
+asio::awaitable<void> gateway_daemon::leave()
+{
+    const time_point start = steady::now();
+    log_line("entry_leaving").add("entry", m_settings.vmName).info();
+    m_path.startLeaving();
+    m_control.startLeaving();
+    co_await sleepUntil(start + partOf(m_settings.bounds.stopGrace, acceptPart));
+    m_path.refuseNew();
+    const time_point end = start + partOf(m_settings.bounds.stopGrace, endPart);
+    while (steady::now() < end && (m_path.requestsInHand() > 0 || m_path.callerConnections() > 0)) {
+        if (m_path.requestsInHand() == 0) {
+            m_path.stop();
+        }
+        co_await sleepUntil(steady::now() + finishPoll);
+    }
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/gatewaypath.cpp
@@ -0,0 +1,280 @@
+#include "gatewaypath.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/platform/exchangeheaders.h"
+#include "cardamomdeck/platform/ingresscodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** How long callers may use an answer about addresses; some keep it three times as long. */
+constexpr milliseconds addressLifetime{1500};
+
+/** Ready entries of a zone from which callers of that zone are sent to them only. */
+constexpr std::size_t enoughInZone = 2;
+
+/** Requests of one connection that are served at once. */
+constexpr std::size_t pipelineDepth = 16;
+
+/** Pause that callers are asked for while this entry cannot serve them. */
+constexpr milliseconds unreadyPause{100};
+
+server_options trafficOptions(std::function<http_response(result_code)> rejection)
+{
+    server_options options;
+    options.limits.bodyBytes = 64ULL * 1024 * 1024;
+    options.idleTimeout = milliseconds(15'000);
+    options.pipelineDepth = pipelineDepth;
+    options.rejection = std::move(rejection);
+    return options;
+}
+
+std::string_view pathOf(const http_request &request)
+{
+    const auto target = request.target();
+    const std::string_view text(target.data(), target.size());
+    return text.substr(0, text.find('?'));
+}
+
+std::string_view hostOf(const http_request &request)
+{
+    const auto host = request[boost::beast::http::field::host];
+    return {host.data(), host.size()};
+}
+
+}
+
+gateway_path::gateway_path(asio::io_context &traffic, const platform::platform_settings &settings)
+    : m_settings(settings)
+    , m_random(std::random_device()())
+    , m_pool(traffic.get_executor())
+    , m_prober(traffic, m_pool)
+    , m_forwarding{traffic, m_pool, m_prober, m_random, settings.zone}
+    , m_directory({settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retryReserve})
+    , m_traffic(
+          traffic.get_executor(),
+          [this](http_request &request, http_session &session) { return handle(request, session); },
+          trafficOptions([this](result_code code) { return rejectUnread(code); }))
+    , m_readiness(
+          traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
+    , m_resolver(
+          traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
+    , m_view(std::make_shared<fleet_view>())
+{
+}
+
+result_code gateway_path::start()
+{
+    for (const auto &[server, address] : {std::pair(&m_traffic, m_settings.traffic),
+                                          std::pair(&m_readiness, m_settings.readiness),
+                                          std::pair(&m_resolver, m_settings.resolver)}) {
+        const result_code code = server->listen(address);
+        if (code != result_code::ok) {
+            log_line("port_in_use").add("address", toString(address)).warn();
+            return code;
+        }
+    }
+    return result_code::ok;
+}
+
+void gateway_path::install(const fleet_view_ptr &view)
+{
+    const bool newConfig = view->config != m_view->config;
+    m_view = view;
+    m_directory.install(*view);
+    if (!newConfig) {
+        return;
+    }
+    const caller_limits &limits = view->config->limits;
+    m_traffic.setLimits({limits.headBytes, limits.bodyBytes}, limits.headTimeout, limits.idleTimeout);
+    std::erase_if(m_splits, [&view](const auto &item) {
+        const auto &rules = view->config->rules;
+        const auto rule = std::ranges::find(rules, item.first, &traffic_rule::name);
+        return rule == rules.end() || rule->services != item.second.services();
+    });
+    log_line("config_installed")
+        .add("config", view->config->version)
+        .add("rules", view->config->rules.size())
+        .info();
+}
+
+void gateway_path::startLeaving()
+{
+    m_leaving = true;
+    m_traffic.closeAfterAnswers();
+}
+
+void gateway_path::refuseNew()
+{
+    m_refusing = true;
+}
+
+void gateway_path::stop()
+{
+    m_traffic.stopGracefully();
+}
+
+std::size_t gateway_path::requestsInHand() const
+{
+    return m_requestsInHand;
+}
+
+std::size_t gateway_path::callerConnections() const
+{
+    return m_traffic.connectionCount();
+}
+
+asio::awaitable<http_response> gateway_path::answerQuestion(http_request &request)
+{
+    if (platform::isReadinessQuestion(request)) {
+        const bool ready = !m_leaving && m_view->config->version > 0;
+        co_return makeResponse(ready ? 200 : 503, "{}");
+    }
+    if (const auto question = platform::decodeAddressQuestion(request)) {
+        co_return answerAddresses(question->zone);
+    }
+    co_return makeResponse(404, "{}");
+}
+
+http_response gateway_path::answerAddresses(const std::string &zone) const
+{
+    std::vector<fleet_member> members;
+    std::ranges::copy_if(m_view->readyMembers, std::back_inserter(members), [&](const fleet_member &member) {
+        return member.zone == zone;
+    });
+    if (members.size() < enoughInZone) {
+        members = m_view->readyMembers;
+    }
+    if (members.empty()) {
+        return makeResponse(503, "{}");
+    }
+    std::vector<std::string> addresses;
+    for (const fleet_member &member : members) {
+        if (addresses.size() < platform::mostAddresses) {
+            addresses.push_back(toString({member.host, m_settings.traffic.port}));
+        }
+    }
+    return platform::encodeAddressAnswer(addresses, addressLifetime);
+}
+
+http_response gateway_path::refuse(result_code code, milliseconds retryAfter) const
+{
+    const result_code_info &info = infoOf(code);
+    const nlohmann::json body = {{"code", static_cast<int>(code)}, {"name", info.name}, {"message", info.meaning}};
+    http_response response = makeResponse(info.httpStatus, body.dump());
+    constexpr unsigned unavailable = 503;
+    if (info.httpStatus == unavailable) {
+        platform::setRetryAfter(response, retryAfter);
+    }
+    return response;
+}
+
+http_response gateway_path::rejectUnread(result_code code) const
+{
+    log_line("request_rejected").add("code", static_cast<int>(code)).add("name", infoOf(code).name).warn();
+    return refuse(code, unreadyPause);
+}
+
+std::string gateway_path::serviceFor(const traffic_rule &rule)
+{
+    if (rule.services.size() == 1) {
+        return rule.services.front().service;
+    }
+    const auto position = m_splits.try_emplace(rule.name, rule.services, m_random).first;
+    return position->second.next();
+}
+
+std::uint32_t gateway_path::mostUrgentPriority(const std::string &service) const
+{
+    std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
+    for (const traffic_rule &rule : m_view->config->rules) {
+        const bool serves = std::ranges::find(rule.services, service, &weighted_service::service) != rule.services.end();
+        if (serves) {
+            priority = std::min(priority, rule.priority);
+        }
+    }
+    return priority;
+}
+
+asio::awaitable<http_response> gateway_path::handle(http_request &request, http_session &session)
+{
+    const time_point arrival = steady::now();
+    const traffic_config_ptr config = m_view->config;
+    if (config->version == 0 || m_refusing) {
+        co_return refuse(config->version == 0 ? result_code::view_stale : result_code::overloaded, unreadyPause);
+    }
+    const traffic_rule *const rule = matchTrafficRule(*config, hostOf(request), pathOf(request));
+    if (rule == nullptr) {
+        log_line("request_unmatched")
+            .add("host", hostOf(request))
+            .add("path", pathOf(request))
+            .add("config", config->version)
+            .info();
+        co_return refuse(result_code::route_unknown, unreadyPause);
+    }
+    ++m_requestsInHand;
+    http_response response = co_await forward(request, session, *rule, arrival);
+    --m_requestsInHand;
+    co_return response;
+}
+
+asio::awaitable<http_response> gateway_path::forward(http_request &request,
+                                                     http_session &session,
+                                                     const traffic_rule &rule,
+                                                     time_point arrival)
+{
+    const platform::caller_request caller = platform::decodeCaller(request);
+    const std::string service = serviceFor(rule);
+    const std::uint64_t version = m_view->config->version;
+    forwarded_request forwarded;
+    forwarded.service = m_directory.find(service);
+    if (!forwarded.service) {
+        co_return refuse(result_code::no_backend, unreadyPause);
+    }
+    removeHopByHopHeaders(request);
+    request.erase(boost::beast::http::field::expect);
+    forwarded.message = request;
+    forwarded.message.keep_alive(true);
+    forwarded.message.prepare_payload();
+    forwarded.id = caller.requestId;
+    forwarded.rule = rule;
+    forwarded.mostUrgentPriority = mostUrgentPriority(service);
+    forwarded.liveMembers = m_view->liveMembers;
+    forwarded.arrival = arrival;
+    forwarded.deadline = arrival + std::min(rule.timeout, caller.patience.value_or(rule.timeout));
+    const auto run = std::make_shared<request_forwarding>(m_forwarding, std::move(forwarded));
+    forwarding_outcome outcome = co_await run->run(session);
+    const std::optional<load_report> load = run->lastLoad();
+    log_line("request")
+        .add("id", caller.requestId)
+        .add("rule", run->rule().name)
+        .add("config", version)
+        .add("service", service)
+        .add("outcome", infoOf(outcome.code).name)
+        .add("status", outcome.code == result_code::ok ? outcome.response.result_int() : infoOf(outcome.code).httpStatus)
+        .add("attempts", run->attempts())
+        .add("backend", run->lastBackend())
+        .add("running", load ? load->running : 0)
+        .add("waiting", load ? load->waiting : 0)
+        .add("pace", load ? load->pace : 0.0)
+        .add("expected_ms", run->expectedMs())
+        .add("took_ms", toMilliseconds(steady::now() - arrival))
+        .info();
+    if (outcome.code != result_code::ok) {
+        co_return refuse(outcome.code, outcome.retryAfter);
+    }
+    removeHopByHopHeaders(outcome.response);
+    outcome.response.prepare_payload();
+    outcome.response.keep_alive(true);
+    co_return std::move(outcome.response);
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/gatewaypath.h
@@ -0,0 +1,82 @@
+/**
+ * @file
+ * Serves callers: everything that runs on the traffic thread.
+ */
+#pragma once
+
+#include "backendprober.h"
+#include "connectionpool.h"
+#include "requestforwarding.h"
+#include "servicetraffic.h"
+
+#include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/dispatch/trafficsplit.h"
+#include "cardamomdeck/fleet/fleetview.h"
+#include "cardamomdeck/http/httpserver.h"
+#include "cardamomdeck/platform/platformsettings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cardamomdeck {
+
+/** Accepts callers' requests and sends them to backend servers. */
+class gateway_path
+{
+public:
+    gateway_path(boost::asio::io_context &traffic, const platform::platform_settings &settings);
+
+    /** Binds the ports for callers and the platform. Errors: port_in_use. */
+    result_code start();
+
+    /** Takes over a new view of the fleet. */
+    void install(const fleet_view_ptr &view);
+
+    /** Is not ready any more; connections close after their next answer. */
+    void startLeaving();
+
+    /** Refuses requests from now on; those in hand are finished. */
+    void refuseNew();
+
+    /** Accepts no new connections, and closes those that wait for nothing. */
+    void stop();
+
+    /** Requests in hand. */
+    std::size_t requestsInHand() const;
+
+    /** Open connections of callers. */
+    std::size_t callerConnections() const;
+
+private:
+    boost::asio::awaitable<http_response> handle(http_request &request, http_session &session);
+    boost::asio::awaitable<http_response> answerQuestion(http_request &request);
+    boost::asio::awaitable<http_response>
+    forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival);
+    http_response answerAddresses(const std::string &zone) const;
+    http_response refuse(result_code code, milliseconds retryAfter) const;
+    http_response rejectUnread(result_code code) const;
+    std::string serviceFor(const traffic_rule &rule);
+    std::uint32_t mostUrgentPriority(const std::string &service) const;
+
+    const platform::platform_settings &m_settings;
+    random_source m_random;
+    connection_pool m_pool;
+    backend_prober m_prober;
+    forwarding_context m_forwarding;
+    traffic_directory m_directory;
+    http_server m_traffic;
+    http_server m_readiness;
+    http_server m_resolver;
+    fleet_view_ptr m_view;
+    /** Splits of the rules, by name; a changed split starts anew. */
+    std::map<std::string, traffic_split> m_splits;
+    std::size_t m_requestsInHand = 0;
+    bool m_leaving = false;
+    bool m_refusing = false;
+};
+
+}
--- /dev/null
+++ b/daemon/gateway/peerlink.cpp
@@ -0,0 +1,182 @@
+#include "peerlink.h"
+
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/framing.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <array>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Longest time for one question and its answer. */
+constexpr milliseconds askTimeout{500};
+
+/** Largest answer in bytes: a configuration of many rules and all back ends. */
+constexpr std::size_t largestFrame = 8U * 1024U * 1024U;
+
+/** Largest heartbeat in bytes; fits one packet. */
+constexpr std::size_t largestDatagram = 1400;
+
+/** Logs and drops what cannot be decoded. */
+template<typename decoder>
+auto decodeOrDrop(decoder decode) -> std::optional<std::decay_t<decltype(*decode())>>
+{
+    using value = std::decay_t<decltype(*decode())>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<value>> {
+            BOOST_LEAF_AUTO(decoded, decode());
+            return std::optional<value>(std::move(decoded));
+        },
+        [](const failure &error) {
+            log_line("peer_message_rejected").add("code", infoOf(error.code).name).add("detail", error.detail).warn();
+            return std::optional<value>();
+        },
+        [] { return std::optional<value>(); });
+}
+
+}
+
+peer_link::peer_link(asio::io_context &context, fleet_state &state)
+    : m_context(context)
+    , m_state(state)
+    , m_datagrams(context)
+    , m_acceptor(context)
+{
+}
+
+result_code peer_link::start(const std::string &host, std::uint16_t port)
+{
+    m_port = port;
+    beast::error_code error;
+    const auto address = asio::ip::make_address(host, error);
+    if (!error) {
+        m_datagrams.open(udp::v4(), error);
+    }
+    if (!error) {
+        m_datagrams.bind(udp::endpoint(address, port), error);
+    }
+    if (!error) {
+        m_datagrams.non_blocking(true, error);
+    }
+    if (error) {
+        return result_code::port_in_use;
+    }
+    const result_code code = openAcceptor(m_acceptor, {host, port});
+    if (code != result_code::ok) {
+        return code;
+    }
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await receiveLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await acceptLoop(); }, asio::detached);
+    return code;
+}
+
+void peer_link::onNotice(std::function<void(const peer_notice &)> handler)
+{
+    m_notice = std::move(handler);
+}
+
+void peer_link::send(const peer_notice &notice, const std::vector<std::string> &hosts)
+{
+    const std::string bytes = encode(notice);
+    for (const std::string &host : hosts) {
+        beast::error_code error;
+        const auto address = asio::ip::make_address(host, error);
+        if (!error) {
+            // A full buffer drops the heartbeat; the next one follows soon.
+            m_datagrams.send_to(asio::buffer(bytes), udp::endpoint(address, m_port), 0, error);
+        }
+    }
+}
+
+asio::awaitable<void> peer_link::receiveLoop()
+{
+    std::array<char, largestDatagram> buffer{};
+    udp::endpoint from;
+    while (m_datagrams.is_open()) {
+        const auto [error, size] = co_await m_datagrams.async_receive_from(asio::buffer(buffer), from, asTuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            continue;
+        }
+        const std::string_view message(buffer.data(), size);
+        if (const auto notice = decodeOrDrop([&] { return decodeNotice(message); })) {
+            m_notice(*notice);
+        }
+    }
+}
+
+asio::awaitable<void> peer_link::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> peer_link::serve(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    stream.expires_at(steady::now() + askTimeout);
+    const auto frame = co_await readFrame(stream, largestFrame, m_bytes);
+    if (!frame) {
+        co_return;
+    }
+    const auto question = decodeOrDrop([&] { return decodeQuestion(*frame); });
+    if (!question) {
+        co_return;
+    }
+    const time_point now = steady::now();
+    const std::string reply = encode(m_state.answer(*question, now), now);
+    co_await writeFrame(stream, reply, m_bytes);
+}
+
+asio::awaitable<std::optional<view_answer>> peer_link::ask(std::string host, view_question question)
+{
+    beast::error_code addressError;
+    const tcp::endpoint endpoint(asio::ip::make_address(host, addressError), m_port);
+    if (addressError) {
+        co_return std::nullopt;
+    }
+    beast::tcp_stream stream(m_context);
+    stream.expires_at(steady::now() + askTimeout);
+    const auto [error] = co_await stream.async_connect(endpoint, asTuple);
+    if (error) {
+        co_return std::nullopt;
+    }
+    const std::string message = encode(question);
+    if (!co_await writeFrame(stream, message, m_bytes)) {
+        co_return std::nullopt;
+    }
+    const auto frame = co_await readFrame(stream, largestFrame, m_bytes);
+    if (!frame) {
+        co_return std::nullopt;
+    }
+    co_return decodeOrDrop([&] { return decodeAnswer(*frame, steady::now()); });
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/peerlink.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * Carries heartbeats, questions and answers between entries.
+ */
+#pragma once
+
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/base/socketaddress.h"
+#include "cardamomdeck/fleet/fleetstate.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** Heartbeats are datagrams, which are never late because of an earlier one; questions use TCP frames. */
+class peer_link
+{
+public:
+    /** A link on @p context that answers questions from @p state. */
+    peer_link(boost::asio::io_context &context, fleet_state &state);
+
+    /** Binds port @p port of @p host for datagrams and connections. Errors: port_in_use. */
+    result_code start(const std::string &host, std::uint16_t port);
+
+    /** Calls @p handler for each heartbeat. */
+    void onNotice(std::function<void(const peer_notice &)> handler);
+
+    /** Sends a heartbeat to @p hosts. */
+    void send(const peer_notice &notice, const std::vector<std::string> &hosts);
+
+    /** Asks the entry at @p host; nothing when it does not answer in time. */
+    boost::asio::awaitable<std::optional<view_answer>> ask(std::string host, view_question question);
+
+private:
+    boost::asio::awaitable<void> receiveLoop();
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context &m_context;
+    fleet_state &m_state;
+    boost::asio::ip::udp::socket m_datagrams;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::function<void(const peer_notice &)> m_notice;
+    std::uint16_t m_port = 0;
+    std::uint64_t m_bytes = 0;
+};
+
+}
--- /dev/null
+++ b/daemon/gateway/requestforwarding.cpp
@@ -0,0 +1,458 @@
+#include "requestforwarding.h"
+
+#include "cardamomdeck/dispatch/admission.h"
+#include "cardamomdeck/platform/exchangeheaders.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Backend servers of one zone that are probed for a request; more find a free slot hardly more often. */
+constexpr std::size_t probesPerZoneGroup = 5;
+
+/** Time after which probes of the own zone, and of all zones, are not waited for when others have answered. */
+constexpr milliseconds ownZonePatience{10};
+constexpr milliseconds allZonesPatience{15};
+
+/** Longest time without any answer to a probe before a server is chosen by this entry's own counts. */
+constexpr milliseconds longestProbing{120};
+
+/** Probes without a load report after which a service is not probed any more. */
+constexpr std::uint32_t uselessProbes = 20;
+
+/** Longest time for connecting to a backend server; a reachable one accepts within some milliseconds. */
+constexpr milliseconds connectTimeout{300};
+
+/** Age of the last proof of life up to which a connection may carry a request. */
+constexpr milliseconds idempotentProof{8000};
+constexpr milliseconds atMostOnceProof{50};
+
+/** Connections that may fail before the request is given up. */
+constexpr std::uint32_t mostConnectFailures = 3;
+
+/** Least time in milliseconds that an attempt needs to be worth starting. */
+constexpr double shortestAttemptMs = 5.0;
+
+/** Time for which a server that answered for another one's address is left alone. */
+constexpr milliseconds wrongServerPause{2000};
+
+constexpr message_limits answerLimits{32U * 1024U, 128ULL * 1024 * 1024};
+
+constexpr double guessedWorkPart = 1.0 / 3.0;
+
+/** A second attempt starts when the first takes this many times as long as expected, and this part of the objective. */
+constexpr double lateFactor = 2.5;
+constexpr double latePart = 0.5;
+
+}
+
+request_forwarding::request_forwarding(forwarding_context &context, forwarded_request request)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_wake(context.context)
+{
+}
+
+asio::awaitable<forwarding_outcome> request_forwarding::run(http_session &session)
+{
+    const auto self = shared_from_this();
+    session.watchCaller([self] { self->end(result_code::caller_gone); });
+    m_request.service->repeats.noteRequest(m_request.arrival);
+    co_await startAttempt();
+    while (!m_ended) {
+        const time_point now = steady::now();
+        if (now >= m_request.deadline) {
+            m_mayHaveRun = m_mayHaveRun || !m_live.empty();
+            m_failure = m_mayHaveRun ? result_code::deadline_passed : m_failure;
+            giveUp();
+            break;
+        }
+        if (m_repeatWanted) {
+            m_repeatWanted = false;
+            co_await startAttempt();
+            continue;
+        }
+        if (now >= hedgeAt()) {
+            m_hedged = true;
+            if (mayRepeat()) {
+                co_await startAttempt();
+                continue;
+            }
+        }
+        m_wake.expires_at(std::min(m_request.deadline, hedgeAt()));
+        co_await m_wake.async_wait(asTuple);
+    }
+    co_return std::move(m_outcome);
+}
+
+time_point request_forwarding::hedgeAt() const
+{
+    const bool possible = m_request.rule.repeat == repeat_policy::idempotent && !m_hedged && m_live.size() == 1;
+    if (!possible) {
+        return time_point::max();
+    }
+    const double objectiveMs = toMilliseconds(m_request.rule.latencyObjective);
+    const double lateMs = std::max(lateFactor * m_expectedMs, latePart * objectiveMs);
+    return m_live.front().startedAt + std::chrono::round<nanoseconds>(std::chrono::duration<double, std::milli>(lateMs));
+}
+
+choice_request request_forwarding::choiceRequest(time_point now) const
+{
+    const double objectiveMs = toMilliseconds(m_request.rule.latencyObjective);
+    const service_traffic &service = *m_request.service;
+    choice_request request;
+    request.objectiveMs = std::max(1.0, objectiveMs - toMilliseconds(now - m_request.arrival));
+    request.deadlineMs = toMilliseconds(m_request.deadline - now);
+    request.averagePace = std::max(1.0, service.pace.valueOr(1.0));
+    const auto found = service.ruleWorkMs.find(m_request.rule.name);
+    const double guessMs = guessedWorkPart * objectiveMs;
+    request.work.requestMs = found == service.ruleWorkMs.end() ? guessMs : found->second.valueOr(guessMs);
+    request.work.serviceMs = service.workMs.valueOr(guessMs);
+    return request;
+}
+
+std::vector<backend_traffic_ptr> request_forwarding::usableBackends(bool sameZone) const
+{
+    const time_point now = steady::now();
+    std::vector<backend_traffic_ptr> usable;
+    for (const auto &[id, backend] : m_request.service->backends) {
+        const bool inZone = backend->server.zone == m_context.zone;
+        if (inZone == sameZone && backend->avoidedUntil <= now && !m_tried.contains(id)) {
+            usable.push_back(backend);
+        }
+    }
+    std::ranges::shuffle(usable, m_context.random);
+    std::ranges::stable_partition(usable,
+                                  [now](const backend_traffic_ptr &backend) { return !backend->health.isSuspect(now); });
+    return usable;
+}
+
+asio::awaitable<void> request_forwarding::collect(std::vector<backend_traffic_ptr> group, milliseconds patience)
+{
+    group.resize(std::min(group.size(), probesPerZoneGroup));
+    if (group.empty()) {
+        co_return;
+    }
+    const time_point deadline = std::min(m_request.deadline, steady::now() + longestProbing);
+    std::vector<probe_result> results =
+        co_await m_context.prober.probe(m_request.service, std::move(group), patience, deadline);
+    for (probe_result &result : results) {
+        if (result.connection || result.load) {
+            m_probed.push_back(std::move(result));
+        }
+    }
+}
+
+std::optional<backend_choice> request_forwarding::chooseProbed()
+{
+    const time_point now = steady::now();
+    std::vector<backend_candidate> candidates;
+    for (const probe_result &result : m_probed) {
+        const backend_traffic &backend = *result.backend;
+        backend_candidate candidate;
+        candidate.report = result.load;
+        candidate.inFlight = backend.inFlight;
+        candidate.sentSince = static_cast<std::uint32_t>(backend.sent - result.sentBefore);
+        candidate.failureShare = backend.health.failureShare(now);
+        candidate.sameZone = backend.server.zone == m_context.zone;
+        candidate.warmingUp = backend.server.warmUntil > now;
+        candidates.push_back(candidate);
+    }
+    return chooseBackend(candidates, choiceRequest(now), m_context.random);
+}
+
+request_forwarding::chosen_backend request_forwarding::takeProbed(const backend_choice &choice)
+{
+    probe_result &result = m_probed[choice.index];
+    m_lastLoad = result.load;
+    return {result.backend, std::move(result.connection), choice};
+}
+
+void request_forwarding::releaseProbed()
+{
+    for (probe_result &result : m_probed) {
+        if (result.connection) {
+            m_context.pool.giveBack(result.backend->server.id, result.connection);
+        }
+    }
+    m_probed.clear();
+}
+
+asio::awaitable<std::optional<request_forwarding::chosen_backend>> request_forwarding::choose()
+{
+    m_probed.clear();
+    std::optional<backend_choice> choice;
+    if (m_request.service->probesWithoutLoad < uselessProbes) {
+        std::vector<backend_traffic_ptr> ownZone = usableBackends(true);
+        co_await collect(std::move(ownZone), ownZonePatience);
+        choice = chooseProbed();
+        if (!m_ended && isWorthLookingFurther(choice, choiceRequest(steady::now()))) {
+            std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
+            co_await collect(std::move(otherZones), allZonesPatience);
+            choice = chooseProbed();
+        }
+    }
+    if (!choice) {
+        // Nothing is known but this entry's own counts.
+        for (const bool sameZone : {true, false}) {
+            for (const backend_traffic_ptr &backend : usableBackends(sameZone)) {
+                m_probed.push_back({backend, nullptr, std::nullopt, backend->sent, false});
+            }
+        }
+        choice = chooseProbed();
+    }
+    std::optional<chosen_backend> chosen;
+    if (choice) {
+        chosen = takeProbed(*choice);
+    }
+    releaseProbed();
+    co_return chosen;
+}
+
+asio::awaitable<void> request_forwarding::startAttempt()
+{
+    std::optional<chosen_backend> chosen = co_await choose();
+    if (m_ended) {
+        if (chosen && chosen->connection) {
+            m_context.pool.giveBack(chosen->backend->server.id, chosen->connection);
+        }
+        co_return;
+    }
+    const std::optional<backend_choice> choice = chosen ? std::optional(chosen->choice) : std::nullopt;
+    const choice_request wanted = choiceRequest(steady::now());
+    const admission_decision decision =
+        admit(choice, wanted, m_request.rule.priority, m_request.mostUrgentPriority, m_context.random);
+    if (!decision.admitted || wanted.deadlineMs < shortestAttemptMs) {
+        if (chosen && chosen->connection) {
+            m_context.pool.giveBack(chosen->backend->server.id, chosen->connection);
+        }
+        m_outcome.retryAfter = decision.retryAfter;
+        if (m_live.empty()) {
+            m_failure = m_mayHaveRun ? m_failure : (choice ? result_code::overloaded : m_failure);
+            giveUp();
+        }
+        co_return;
+    }
+    ++m_attempts;
+    ++m_request.service->attempts;
+    m_tried.insert(chosen->backend->server.id);
+    m_lastBackend = chosen->backend->server.id;
+    m_expectedMs = chosen->choice.expectedMs;
+    const std::uint32_t number = m_attempts;
+    m_live.push_back({number, chosen->backend, nullptr, steady::now()});
+    asio::co_spawn(
+        m_context.context,
+        [self = shared_from_this(), picked = std::move(*chosen), number]() -> asio::awaitable<void> {
+            co_await self->attemptAt(picked, number);
+        },
+        asio::detached);
+}
+
+asio::awaitable<connection_ptr> request_forwarding::openConnection(backend_traffic_ptr backend)
+{
+    const time_point now = steady::now();
+    const milliseconds proof =
+        m_request.rule.repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
+    connection_ptr connection = m_context.pool.takeIdle(backend->server.id, now - proof);
+    if (!connection) {
+        connection = co_await m_context.prober.connect(backend, std::min(m_request.deadline, now + connectTimeout));
+    }
+    co_return connection;
+}
+
+asio::awaitable<void> request_forwarding::attemptAt(chosen_backend chosen, std::uint32_t number)
+{
+    const backend_traffic_ptr backend = chosen.backend;
+    connection_ptr connection = chosen.connection;
+    if (!connection) {
+        connection = co_await openConnection(backend);
+    }
+    if (m_ended) {
+        if (connection) {
+            m_context.pool.giveBack(backend->server.id, connection);
+        }
+        co_return;
+    }
+    exchange_result result;
+    const time_point startedAt = steady::now();
+    const auto left = std::chrono::floor<milliseconds>(m_request.deadline - startedAt);
+    if (!connection || left <= milliseconds(0)) {
+        result.code = result_code::connect_failed;
+    } else {
+        std::ranges::find(m_live, number, &attempt::number)->connection = connection;
+        http_request message = m_request.message;
+        platform::addressTo(message, backend->server.id, left);
+        answer_rules rules;
+        rules.accepts = [id = m_request.id](const http_response &response) {
+            return platform::mayAnswer(response, id);
+        };
+        rules.unframed = true;
+        ++backend->inFlight;
+        ++backend->sent;
+        result = co_await connection->exchange(std::move(message), answerLimits, m_request.deadline, std::move(rules));
+        --backend->inFlight;
+        m_context.pool.giveBack(backend->server.id, connection);
+    }
+    std::erase_if(m_live, [number](const attempt &live) { return live.number == number; });
+    if (!m_ended) {
+        settle(backend, std::move(result), startedAt);
+        m_wake.cancel();
+    }
+}
+
+void request_forwarding::settle(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt)
+{
+    const time_point now = steady::now();
+    if (result.code == result_code::ok) {
+        noteAnswer(backend, std::move(result), startedAt);
+        return;
+    }
+    if (now < m_request.deadline) {
+        backend->health.noteFailure(now);
+    }
+    if (!result.bytesSent) {
+        --m_attempts;
+        fail(result_code::connect_failed, false, ++m_connectFailures <= mostConnectFailures);
+        return;
+    }
+    fail(result.code, true, m_request.rule.repeat == repeat_policy::idempotent && mayRepeat());
+}
+
+void request_forwarding::noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt)
+{
+    const time_point now = steady::now();
+    const bool idempotent = m_request.rule.repeat == repeat_policy::idempotent;
+    switch (platform::classifyAnswer(result.response, m_request.id)) {
+    case platform::answer_kind::genuine:
+        break;
+    case platform::answer_kind::wrong_server:
+        backend->avoidedUntil = now + wrongServerPause;
+        fail(result_code::backend_refused, false, mayRepeat());
+        return;
+    case platform::answer_kind::not_run:
+        fail(result_code::backend_refused, false, mayRepeat());
+        return;
+    case platform::answer_kind::corrupt:
+        backend->health.noteFailure(now);
+        fail(result_code::answer_malformed, true, idempotent && mayRepeat());
+        return;
+    }
+    constexpr unsigned firstServerError = 500;
+    const bool serverError = result.response.result_int() >= firstServerError;
+    if (serverError) {
+        backend->health.noteFailure(now);
+        if (idempotent && mayRepeat()) {
+            m_lastAnswer = std::move(result.response);
+            fail(result_code::answer_malformed, true, true);
+            return;
+        }
+    } else {
+        backend->health.noteSuccess(now);
+        learnWork(toMilliseconds(now - startedAt));
+    }
+    m_outcome.response = std::move(result.response);
+    end(result_code::ok);
+}
+
+void request_forwarding::learnWork(double tookMs)
+{
+    if (!m_lastLoad || m_attempts != 1 || m_lastLoad->running >= m_lastLoad->slots) {
+        return;
+    }
+    const double workMs = tookMs / std::max(1.0, m_lastLoad->pace);
+    service_traffic &service = *m_request.service;
+    service.workMs.add(workMs);
+    service.ruleWorkMs.try_emplace(m_request.rule.name, service_traffic::sampleWeight).first->second.add(workMs);
+}
+
+bool request_forwarding::mayRepeat()
+{
+    const time_point now = steady::now();
+    if (m_attempts >= m_request.rule.mostAttempts || toMilliseconds(m_request.deadline - now) < shortestAttemptMs) {
+        return false;
+    }
+    if (!m_request.service->repeats.take(now, m_request.liveMembers)) {
+        return false;
+    }
+    ++m_request.service->repeatsSent;
+    return true;
+}
+
+void request_forwarding::fail(result_code code, bool mayHaveRun, bool repeat)
+{
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (mayHaveRun || !m_mayHaveRun) {
+        m_failure = code;
+    }
+    if (repeat) {
+        m_repeatWanted = true;
+        return;
+    }
+    if (m_live.empty()) {
+        giveUp();
+    }
+}
+
+void request_forwarding::giveUp()
+{
+    if (m_lastAnswer) {
+        // The server's own failure tells the caller more than one of ours.
+        m_outcome.response = std::move(*m_lastAnswer);
+        end(result_code::ok);
+        return;
+    }
+    end(m_failure);
+}
+
+void request_forwarding::end(result_code code)
+{
+    if (m_ended) {
+        return;
+    }
+    m_ended = true;
+    m_outcome.code = code;
+    for (const attempt &live : m_live) {
+        if (live.connection) {
+            live.connection->close();
+        }
+    }
+    m_wake.cancel();
+}
+
+const traffic_rule &request_forwarding::rule() const
+{
+    return m_request.rule;
+}
+
+std::uint32_t request_forwarding::attempts() const
+{
+    return m_attempts;
+}
+
+const std::string &request_forwarding::lastBackend() const
+{
+    return m_lastBackend;
+}
+
+double request_forwarding::expectedMs() const
+{
+    return m_expectedMs;
+}
+
+std::optional<load_report> request_forwarding::lastLoad() const
+{
+    return m_lastLoad;
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/requestforwarding.h
@@ -0,0 +1,145 @@
+/**
+ * @file
+ * Sends one caller's request to backend servers until it is answered or given up.
+ */
+#pragma once
+
+#include "backendprober.h"
+#include "connectionpool.h"
+#include "servicetraffic.h"
+
+#include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/dispatch/backendchoice.h"
+#include "cardamomdeck/fleet/fleetview.h"
+#include "cardamomdeck/http/httpconnection.h"
+#include "cardamomdeck/http/httpserver.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** What all requests of an entry share. */
+struct forwarding_context
+{
+    boost::asio::io_context &context;
+    connection_pool &pool;
+    backend_prober &prober;
+    random_source &random;
+    std::string zone;
+};
+
+/** A request with what decides about it. */
+struct forwarded_request
+{
+    http_request message;
+    std::string id;
+    traffic_rule rule;
+    service_traffic_ptr service;
+    /** Most urgent priority among the rules of the service. */
+    std::uint32_t mostUrgentPriority = 0;
+    std::size_t liveMembers = 1;
+    time_point arrival;
+    /** When the caller or the rule gives the request up. */
+    time_point deadline;
+};
+
+/** How a request ended. */
+struct forwarding_outcome
+{
+    result_code code = result_code::ok;
+    /** The answer of a backend server, valid when the code is ok. */
+    http_response response;
+    /** When refused: time after which the caller may come back. */
+    milliseconds retryAfter{0};
+};
+
+/**
+ * The attempts of one request. An idempotent request may be tried again after
+ * any failure; any other only after the server said that it has not run it,
+ * or when no byte of it was sent.
+ */
+class request_forwarding : public std::enable_shared_from_this<request_forwarding>
+{
+public:
+    request_forwarding(forwarding_context &context, forwarded_request request);
+
+    /** Runs the request; @p session tells when the caller leaves. */
+    boost::asio::awaitable<forwarding_outcome> run(http_session &session);
+
+    /** The rule that the request follows. */
+    const traffic_rule &rule() const;
+
+    /** Attempts sent. */
+    std::uint32_t attempts() const;
+
+    /** Fields for the log: the last chosen server and what decided for it. */
+    const std::string &lastBackend() const;
+    double expectedMs() const;
+    std::optional<load_report> lastLoad() const;
+
+private:
+    struct chosen_backend
+    {
+        backend_traffic_ptr backend;
+        connection_ptr connection;
+        backend_choice choice;
+    };
+    struct attempt
+    {
+        std::uint32_t number = 0;
+        backend_traffic_ptr backend;
+        connection_ptr connection;
+        time_point startedAt;
+    };
+
+    boost::asio::awaitable<std::optional<chosen_backend>> choose();
+    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> group, milliseconds patience);
+    boost::asio::awaitable<void> startAttempt();
+    boost::asio::awaitable<void> attemptAt(chosen_backend chosen, std::uint32_t number);
+    boost::asio::awaitable<connection_ptr> openConnection(backend_traffic_ptr backend);
+    std::vector<backend_traffic_ptr> usableBackends(bool sameZone) const;
+    std::optional<backend_choice> chooseProbed();
+    chosen_backend takeProbed(const backend_choice &choice);
+    void releaseProbed();
+    choice_request choiceRequest(time_point now) const;
+    void settle(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
+    void noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
+    void learnWork(double tookMs);
+    void fail(result_code code, bool mayHaveRun, bool repeat);
+    bool mayRepeat();
+    time_point hedgeAt() const;
+    void giveUp();
+    void end(result_code code);
+
+    forwarding_context &m_context;
+    forwarded_request m_request;
+    boost::asio::steady_timer m_wake;
+    std::vector<probe_result> m_probed;
+    std::set<std::string> m_tried;
+    std::vector<attempt> m_live;
+    forwarding_outcome m_outcome;
+    result_code m_failure = result_code::no_backend;
+    std::string m_lastBackend;
+    std::optional<load_report> m_lastLoad;
+    double m_expectedMs = 0;
+    std::uint32_t m_attempts = 0;
+    std::uint32_t m_connectFailures = 0;
+    /** A whole answer of a server that reports a failure of its own. */
+    std::optional<http_response> m_lastAnswer;
+    bool m_mayHaveRun = false;
+    bool m_repeatWanted = false;
+    bool m_hedged = false;
+    bool m_ended = false;
+};
+
+}
--- /dev/null
+++ b/daemon/gateway/servicetraffic.cpp
@@ -0,0 +1,56 @@
+#include "servicetraffic.h"
+
+namespace cardamomdeck {
+
+namespace {
+
+/** The same process at the same place; its history still tells something. */
+bool isSameIncarnation(const backend_server &a, const backend_server &b)
+{
+    return a.bornMs == b.bornMs && a.address == b.address;
+}
+
+}
+
+traffic_directory::traffic_directory(repeat_limits limits)
+    : m_limits(limits)
+{
+}
+
+void traffic_directory::install(const fleet_view &view)
+{
+    for (const auto &[name, profile] : view.config->services) {
+        service_traffic_ptr &service = m_services[name];
+        if (!service) {
+            service = std::make_shared<service_traffic>(m_limits);
+        }
+        service->profile = profile;
+    }
+    static const std::map<std::string, backend_server> noBackends;
+    for (auto &[name, service] : m_services) {
+        const auto found = view.backends.find(name);
+        const auto &servers = found == view.backends.end() ? noBackends : found->second;
+        std::map<std::string, backend_traffic_ptr> next;
+        for (const auto &[id, server] : servers) {
+            const auto present = service->backends.find(id);
+            const bool keeps =
+                present != service->backends.end() && isSameIncarnation(present->second->server, server);
+            next[id] = keeps ? present->second : std::make_shared<backend_traffic>(server);
+            next[id]->server = server;
+        }
+        service->backends = std::move(next);
+    }
+}
+
+service_traffic_ptr traffic_directory::find(const std::string &name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+const std::map<std::string, service_traffic_ptr> &traffic_directory::services() const
+{
+    return m_services;
+}
+
+}
--- /dev/null
+++ b/daemon/gateway/servicetraffic.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * What the traffic thread keeps for each service and each of its backend servers.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/dispatch/backendhealth.h"
+#include "cardamomdeck/dispatch/loadreport.h"
+#include "cardamomdeck/dispatch/pacestatistics.h"
+#include "cardamomdeck/dispatch/repeatbudget.h"
+#include "cardamomdeck/fleet/fleetview.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** One backend server as this entry uses it. */
+struct backend_traffic
+{
+    /** A server that was first seen at @p now. */
+    explicit backend_traffic(backend_server known)
+        : server(std::move(known))
+    {
+    }
+
+    backend_server server;
+    backend_health health;
+    /** Requests sent and not answered. */
+    std::uint32_t inFlight = 0;
+    /** Requests sent so far; tells how many followed a load report. */
+    std::uint64_t sent = 0;
+    /** Receives no work before then: it said itself that it takes none, or another server has its address. */
+    time_point avoidedUntil;
+};
+
+using backend_traffic_ptr = std::shared_ptr<backend_traffic>;
+
+/** One service as this entry uses it. */
+struct service_traffic
+{
+    /** A service whose repeats are bound by @p limits. */
+    explicit service_traffic(repeat_limits limits)
+        : repeats(limits)
+    {
+    }
+
+    service_profile profile;
+    std::map<std::string, backend_traffic_ptr> backends;
+    repeat_budget repeats;
+    /** Weight of a new sample: some twenty samples make up most of a mean. */
+    static constexpr double sampleWeight = 0.05;
+    /** Pace that load reports tell. */
+    running_mean pace{sampleWeight};
+    /** Usual time of the requests of all rules, in milliseconds. */
+    running_mean workMs{sampleWeight};
+    /** Usual time of the requests of single rules, in milliseconds. */
+    std::map<std::string, running_mean> ruleWorkMs;
+    /** Probes that were answered without a load report; probing stops when they do not tell anything. */
+    std::uint32_t probesWithoutLoad = 0;
+
+    std::uint64_t probes = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t repeatsSent = 0;
+};
+
+using service_traffic_ptr = std::shared_ptr<service_traffic>;
+
+/** All services; follows the view of the fleet. */
+class traffic_directory
+{
+public:
+    /** Services whose repeats are bound by @p limits. */
+    explicit traffic_directory(repeat_limits limits);
+
+    /** Takes over a new view; what is known of remaining servers is kept. */
+    void install(const fleet_view &view);
+
+    /** The service called @p name, or null when neither the configuration nor a server names it. */
+    service_traffic_ptr find(const std::string &name) const;
+
+    /** All services by name. */
+    const std::map<std::string, service_traffic_ptr> &services() const;
+
+private:
+    repeat_limits m_limits;
+    std::map<std::string, service_traffic_ptr> m_services;
+};
+
+}
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -4,6 +4,7 @@
  */
 #include "controlstate.h"
 #include "entrysettings.h"
+#include "gateway/gatewaydaemon.h"
 #include "logfollower.h"
 #include "peerexchange.h"
 #include "requestpath.h"
@@ -21,6 +22,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <csignal>
 #include <cstdio>
@@ -31,6 +33,7 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace leaf = boost::leaf;
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
@@ -153,21 +156,43 @@
     peer_message m_lastNews;
 };
 
+void printFault(const std::string &fault)
+{
+    const log_line line = log_line("setting_invalid")
+                              .add("code", static_cast<int>(result_code::setting_invalid))
+                              .add("detail", fault);
+    std::fprintf(stderr, "%s\n", line.text().c_str());
+}
+
+int runOnPlatform(const entry_settings &settings)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(platformSettings, platform::readPlatformSettings(settings.platformFile));
+            gateway_daemon daemon(platformSettings);
+            return daemon.run();
+        },
+        [](const failure &error) {
+            printFault(error.detail);
+            return exitWrongSetting;
+        },
+        [] { return exitWrongSetting; });
+}
+
 int runDaemon(int argc, char **argv)
 {
     const settings_check check = readSettings(argc, argv);
     if (!check.faults.empty()) {
         for (const std::string &fault : check.faults) {
-            const log_line line = log_line("setting_invalid")
-                                      .add("code", static_cast<int>(result_code::setting_invalid))
-                                      .add("detail", fault);
-            std::fprintf(stderr, "%s\n", line.text().c_str());
+            printFault(fault);
         }
         return exitWrongSetting;
     }
     startLogging(check.settings.logLevel);
     int exitCode = 0;
-    {
+    if (!check.settings.platformFile.empty()) {
+        exitCode = runOnPlatform(check.settings);
+    } else {
         entry_daemon daemon(check.settings);
         exitCode = daemon.run();
     }
--- a/daemon/peerexchange.cpp
+++ b/daemon/peerexchange.cpp
@@ -2,18 +2,15 @@
 
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/framing.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/endian/conversion.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
-#include <array>
 #include <optional>
 
 namespace cardamomdeck {
@@ -42,43 +39,6 @@
 /** Period in which the set of peers is compared with the members. */
 constexpr milliseconds linkPeriod{100};
 
-using frame_length = std::uint32_t;
-
-/** False when the connection failed. */
-asio::awaitable<bool> writeFrame(beast::tcp_stream &stream, const std::string &body, std::uint64_t &bytes)
-{
-    const frame_length length = boost::endian::native_to_big(static_cast<frame_length>(body.size()));
-    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(&length, sizeof length), asio::buffer(body)};
-    const auto [error, size] = co_await asio::async_write(stream, buffers, asTuple);
-    bytes += size;
-    co_return !error;
-}
-
-/** Nothing when the connection failed or the frame is too large. */
-asio::awaitable<std::optional<std::string>> readFrame(beast::tcp_stream &stream, std::uint64_t &bytes)
-{
-    frame_length length = 0;
-    const auto [headError, headSize] = co_await asio::async_read(stream, asio::buffer(&length, sizeof length), asTuple);
-    if (headError) {
-        co_return std::nullopt;
-    }
-    boost::endian::big_to_native_inplace(length);
-    if (length > largestPeerFrame) {
-        log_line("peer_frame_rejected")
-            .add("code", infoOf(result_code::frame_too_large).name)
-            .add("bytes", length)
-            .warn();
-        co_return std::nullopt;
-    }
-    std::string body(length, '\0');
-    const auto [bodyError, bodySize] = co_await asio::async_read(stream, asio::buffer(body), asTuple);
-    bytes += headSize + bodySize;
-    if (bodyError) {
-        co_return std::nullopt;
-    }
-    co_return body;
-}
-
 std::optional<peer_message> decodeFrame(const std::string &frame)
 {
     return leaf::try_handle_all(
@@ -172,7 +132,7 @@
     stream.socket().set_option(tcp::no_delay(true), ignored);
     for (;;) {
         stream.expires_at(steady::now() + answerIdleTimeout);
-        const auto frame = co_await readFrame(stream, m_bytes);
+        const auto frame = co_await readFrame(stream, largestPeerFrame, m_bytes);
         if (!frame) {
             co_return;
         }
@@ -238,7 +198,7 @@
     if (!co_await writeFrame(*link->stream, question, m_bytes)) {
         co_return false;
     }
-    const auto frame = co_await readFrame(*link->stream, m_bytes);
+    const auto frame = co_await readFrame(*link->stream, largestPeerFrame, m_bytes);
     if (!frame) {
         co_return false;
     }
--- a/daemon/resourceapi.cpp
+++ b/daemon/resourceapi.cpp
@@ -142,6 +142,19 @@
     std::string changeId;
 };
 
+namespace {
+
+server_options apiOptions()
+{
+    constexpr std::size_t mostApiConnections = 1024;
+    server_options options;
+    options.maxConnections = mostApiConnections;
+    options.rejection = [](result_code code) { return errorResponse(code, ""); };
+    return options;
+}
+
+}
+
 resource_api::resource_api(asio::io_context &context,
                            const entry_settings &settings,
                            control_state &state,
@@ -156,9 +169,7 @@
     , m_server(
           context.get_executor(),
           [this](http_request &request, http_session &) { return handle(request); },
-          server_options{{}, milliseconds(60'000), milliseconds(10'000), 1024, [](result_code code) {
-                             return errorResponse(code, "");
-                         }})
+          apiOptions())
 {
 }
 
--- a/libs/base/include/cardamomdeck/base/logline.h
+++ b/libs/base/include/cardamomdeck/base/logline.h
@@ -43,7 +43,7 @@
     std::string m_text;
 };
 
-/** Sends log lines to standard error; @p level is a log4cplus level name. */
+/** Sends log lines to standard output; @p level is a log4cplus level name. */
 void startLogging(const std::string &level);
 
 /** Flushes and closes the log. */
--- a/libs/base/src/logline.cpp
+++ b/libs/base/src/logline.cpp
@@ -98,7 +98,7 @@
 void startLogging(const std::string &level)
 {
     initializer() = std::make_unique<log4cplus::Initializer>();
-    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(false, true));
     console->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
     log4cplus::SharedAppenderPtr queue(new log4cplus::AsyncAppender(console, asyncQueueLines));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -53,9 +53,12 @@
     /** Servers that may receive work, by id. */
     std::map<std::string, backend_server> usable() const;
 
-    /** Records with offsets from @p from on, for peers. */
+    /** Records that changed something, with offsets from @p from on, for peers. */
     std::vector<backend_record> since(store_offset from) const;
 
+    /** Offset of the last record that changed something. */
+    store_offset changedAt() const;
+
     /** Offset up to which all records have been applied. */
     store_offset end() const;
 
@@ -67,7 +70,9 @@
     {
         std::optional<backend_server> server;
         store_offset offset = 0;
-        /** Set on a gone server: the report that it must exceed to come back. */
+        /** Offset of the last record that changed more than the count of reports. */
+        store_offset changedAt = 0;
+        /** The newest report, which a late one must exceed. */
         std::int64_t lastBornMs = 0;
         std::uint64_t lastSequence = 0;
         bool gone = false;
@@ -80,6 +85,7 @@
 
     std::map<std::string, entry> m_entries;
     store_offset m_end = 0;
+    store_offset m_changedAt = 0;
     std::optional<time_point> m_holdLapsesUntil;
 };
 
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -0,0 +1,114 @@
+/**
+ * @file
+ * What one entry knows of the fleet, from the store and from its peers; makes no I/O.
+ */
+#pragma once
+
+#include "cardamomdeck/fleet/backendregistry.h"
+#include "cardamomdeck/fleet/fleetview.h"
+#include "cardamomdeck/fleet/membertable.h"
+#include "cardamomdeck/fleet/peernotice.h"
+#include "cardamomdeck/fleet/readschedule.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** A read of the store that began at a time and saw everything written before it. */
+struct store_reading
+{
+    time_point startedAt;
+    /** The newest configuration, if the read brought one. */
+    std::optional<traffic_config> config;
+    /** The same as the operator wrote it. */
+    std::string configText;
+    store_offset configEnd = 0;
+    std::vector<backend_record> backends;
+    store_offset backendsEnd = 0;
+    /** The records are a complete listing; servers that it lacks are gone. */
+    bool completeListing = false;
+};
+
+/** Folds readings, notices and answers; versions of the configuration only rise. */
+class fleet_state
+{
+public:
+    /** Age of the view above which the store counts as having been away: one that every entry reads before. */
+    static constexpr milliseconds outageAge{2200};
+
+    /** The state of the entry @p self. */
+    explicit fleet_state(fleet_member self);
+
+    /** Takes over a successful read; true when the view changed. */
+    bool applyReading(const store_reading &reading, time_point now);
+
+    /** Notes a read that failed at @p now. */
+    void noteReadFailed(time_point now);
+
+    /** What follows from a heartbeat. */
+    struct hearing
+    {
+        /** The sender knows more than this entry, and should be asked. */
+        bool ask = false;
+        /** Something about the sender changed. */
+        bool memberChanged = false;
+    };
+
+    /** Takes over a heartbeat. */
+    hearing hear(const peer_notice &notice, time_point now);
+
+    /** Takes over a peer's answer to a question that was asked at @p askedAt; true when the view changed. */
+    bool applyAnswer(const view_answer &answer,
+                     std::optional<traffic_config> config,
+                     std::optional<milliseconds> age,
+                     time_point askedAt,
+                     time_point now);
+
+    /** Answers a peer's question. */
+    view_answer answer(const view_question &question, time_point now) const;
+
+    /** The heartbeat to send at @p now. */
+    peer_notice notice(time_point now) const;
+
+    /** Forgets lapsed servers and silent members; true when the view changed. */
+    bool expire(time_point now);
+
+    /** Makes the next read due at once, and older views untrusted: the process has been suspended. */
+    void noteSuspended(time_point now);
+
+    /** This entry begins to shut down. */
+    void startLeaving();
+
+    /** When this entry should read the store. */
+    time_point nextRead(time_point now) const;
+
+    /** How much is known. */
+    view_position position() const;
+
+    /** True once a complete view has been read or received. */
+    bool isComplete() const;
+
+    /** The view as one immutable value. */
+    fleet_view_ptr view(time_point now) const;
+
+    member_table &members();
+    const member_table &members() const;
+
+private:
+    bool installConfig(traffic_config config, std::string text);
+    void noteFresh(time_point at, time_point now);
+    bool knows(const view_position &position) const;
+
+    member_table m_members;
+    backend_registry m_backends;
+    read_schedule m_schedule;
+    traffic_config_ptr m_config = std::make_shared<traffic_config>();
+    std::string m_configText;
+    store_offset m_configEnd = 0;
+    bool m_complete = false;
+    bool m_leaving = false;
+};
+
+}
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -46,8 +46,8 @@
     /** This entry. */
     const fleet_member &self() const;
 
-    /** Notes a heartbeat. */
-    void heard(const fleet_member &member, time_point now);
+    /** Notes a heartbeat; true when the member is new, was silent, or says something else than before. */
+    bool heard(const fleet_member &member, time_point now);
 
     /** Learns of a member from the store or a peer; it does not count as heard. */
     void learned(const fleet_member &member, time_point now);
--- /dev/null
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -0,0 +1,79 @@
+/**
+ * @file
+ * Messages between entries, and their MessagePack form.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/fleet/backendregistry.h"
+#include "cardamomdeck/fleet/membertable.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamomdeck {
+
+/** How much an entry has read of the store. */
+struct view_position
+{
+    std::uint64_t configVersion = 0;
+    /** Offset after the last read record of the configuration's topic. */
+    store_offset configEnd = 0;
+    /** Offset of the last record of a backend server that changed something. */
+    store_offset backendsChangedAt = 0;
+    /** Offset after the last read record of a backend server. */
+    store_offset backendsEnd = 0;
+
+    bool operator==(const view_position &) const = default;
+};
+
+/** Heartbeat, sent as a datagram. */
+struct peer_notice
+{
+    fleet_member sender;
+    view_position position;
+    /** Time since the sender's view was known to be complete; none if it never was. */
+    std::optional<milliseconds> age;
+
+    bool operator==(const peer_notice &) const = default;
+};
+
+/** Asks a peer for what is newer than @p position. */
+struct view_question
+{
+    view_position position;
+
+    bool operator==(const view_question &) const = default;
+};
+
+/** What a peer knows beyond the position of a question. */
+struct view_answer
+{
+    view_position position;
+    /** The configuration as the operator wrote it, if it is newer. */
+    std::optional<std::string> config;
+    std::vector<backend_record> backends;
+    std::vector<fleet_member> members;
+
+    bool operator==(const view_answer &) const = default;
+};
+
+std::string encode(const peer_notice &notice);
+std::string encode(const view_question &question);
+/** Times are sent as what is left at @p now. */
+std::string encode(const view_answer &answer, time_point now);
+
+/** Errors: frame_malformed. */
+boost::leaf::result<peer_notice> decodeNotice(std::string_view message);
+/** @copydoc decodeNotice */
+boost::leaf::result<view_question> decodeQuestion(std::string_view message);
+/** @copydoc decodeNotice */
+boost::leaf::result<view_answer> decodeAnswer(std::string_view message, time_point now);
+
+}
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -38,6 +38,9 @@
     /** Notes a read of this entry that succeeded. */
     void noteSuccess();
 
+    /** Forgets how fresh the view was, and any pause; the next read is due at @p now. */
+    void distrust(time_point now);
+
     /** When the entry of rank @p rank, counted from 0, should read next. */
     time_point nextRead(std::size_t rank) const;
 
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -16,7 +16,12 @@
     }
     entry &known = m_entries[record.id];
     known.offset = record.offset;
-    return record.server ? applyReport(known, *record.server) : applyRemoval(known, now);
+    const bool changed = record.server ? applyReport(known, *record.server) : applyRemoval(known, now);
+    if (changed || known.lapsedUntil) {
+        known.changedAt = record.offset;
+        m_changedAt = std::max(m_changedAt, record.offset);
+    }
+    return changed;
 }
 
 bool backend_registry::applyReport(entry &known, const backend_server &report)
@@ -66,8 +71,7 @@
     }
     for (auto &[id, known] : m_entries) {
         if (!listed.contains(id) && known.offset < end) {
-            known.offset = end;
-            changed = applyRemoval(known, now) || changed;
+            changed = apply({id, end, std::nullopt}, now) || changed;
         }
     }
     advanceTo(end);
@@ -107,14 +111,19 @@
 {
     std::vector<backend_record> records;
     for (const auto &[id, known] : m_entries) {
-        if (known.offset >= from) {
-            records.push_back({id, known.offset, known.gone ? std::nullopt : known.server});
+        if (known.changedAt >= from) {
+            records.push_back({id, known.changedAt, known.gone ? std::nullopt : known.server});
         }
     }
     std::ranges::sort(records, {}, &backend_record::offset);
     return records;
 }
 
+store_offset backend_registry::changedAt() const
+{
+    return m_changedAt;
+}
+
 store_offset backend_registry::end() const
 {
     return m_end;
--- /dev/null
+++ b/libs/fleet/src/fleetstate.cpp
@@ -0,0 +1,184 @@
+#include "cardamomdeck/fleet/fleetstate.h"
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+fleet_state::fleet_state(fleet_member self)
+    : m_members(std::move(self))
+{
+}
+
+bool fleet_state::installConfig(traffic_config config, std::string text)
+{
+    if (config.version <= m_config->version) {
+        return false;
+    }
+    m_config = std::make_shared<traffic_config>(std::move(config));
+    m_configText = std::move(text);
+    fleet_member self = m_members.self();
+    self.ready = !m_leaving;
+    m_members.setSelf(std::move(self));
+    return true;
+}
+
+void fleet_state::noteFresh(time_point at, time_point now)
+{
+    if (m_complete && at - m_schedule.freshAt() > outageAge) {
+        m_backends.noteStoreReturned(now);
+    }
+    m_schedule.noteFresh(at);
+    m_complete = true;
+}
+
+bool fleet_state::applyReading(const store_reading &reading, time_point now)
+{
+    noteFresh(reading.startedAt, now);
+    m_schedule.noteSuccess();
+    bool changed = false;
+    if (reading.config) {
+        changed = installConfig(*reading.config, reading.configText);
+    }
+    m_configEnd = std::max(m_configEnd, reading.configEnd);
+    if (reading.completeListing) {
+        return m_backends.replaceAll(reading.backends, reading.backendsEnd, now) || changed;
+    }
+    for (const backend_record &record : reading.backends) {
+        changed = m_backends.apply(record, now) || changed;
+    }
+    m_backends.advanceTo(reading.backendsEnd);
+    return changed;
+}
+
+void fleet_state::noteReadFailed(time_point now)
+{
+    m_schedule.noteFailure(now);
+}
+
+bool fleet_state::knows(const view_position &position) const
+{
+    return m_complete && m_config->version >= position.configVersion
+           && m_backends.changedAt() >= position.backendsChangedAt;
+}
+
+fleet_state::hearing fleet_state::hear(const peer_notice &notice, time_point now)
+{
+    hearing result;
+    result.memberChanged = m_members.heard(notice.sender, now);
+    if (!notice.age) {
+        return result;
+    }
+    if (!knows(notice.position)) {
+        result.ask = true;
+        return result;
+    }
+    noteFresh(now - *notice.age, now);
+    m_configEnd = std::max(m_configEnd, notice.position.configEnd);
+    m_backends.advanceTo(notice.position.backendsEnd);
+    return result;
+}
+
+bool fleet_state::applyAnswer(const view_answer &answer,
+                              std::optional<traffic_config> config,
+                              std::optional<milliseconds> age,
+                              time_point askedAt,
+                              time_point now)
+{
+    for (const fleet_member &member : answer.members) {
+        m_members.learned(member, now);
+    }
+    if (age) {
+        noteFresh(askedAt - *age, now);
+    }
+    bool changed = false;
+    if (config && answer.config) {
+        changed = installConfig(std::move(*config), *answer.config);
+    }
+    for (const backend_record &record : answer.backends) {
+        changed = m_backends.apply(record, now) || changed;
+    }
+    if (age) {
+        m_configEnd = std::max(m_configEnd, answer.position.configEnd);
+        m_backends.advanceTo(answer.position.backendsEnd);
+    }
+    return changed;
+}
+
+view_answer fleet_state::answer(const view_question &question, time_point now) const
+{
+    view_answer answer;
+    answer.position = position();
+    if (m_config->version > question.position.configVersion) {
+        answer.config = m_configText;
+    }
+    answer.backends = m_backends.since(question.position.backendsChangedAt);
+    answer.members = m_members.alive(now);
+    return answer;
+}
+
+peer_notice fleet_state::notice(time_point now) const
+{
+    peer_notice notice{m_members.self(), position(), std::nullopt};
+    if (m_complete) {
+        notice.age = std::chrono::ceil<milliseconds>(now - m_schedule.freshAt());
+    }
+    return notice;
+}
+
+bool fleet_state::expire(time_point now)
+{
+    m_members.expire(now);
+    return m_backends.expireLapsed(now);
+}
+
+void fleet_state::noteSuspended(time_point now)
+{
+    m_schedule.distrust(now);
+}
+
+void fleet_state::startLeaving()
+{
+    m_leaving = true;
+    fleet_member self = m_members.self();
+    self.ready = false;
+    m_members.setSelf(std::move(self));
+}
+
+time_point fleet_state::nextRead(time_point now) const
+{
+    return m_schedule.nextRead(m_members.rank(now));
+}
+
+view_position fleet_state::position() const
+{
+    return {m_config->version, m_configEnd, m_backends.changedAt(), m_backends.end()};
+}
+
+bool fleet_state::isComplete() const
+{
+    return m_complete;
+}
+
+fleet_view_ptr fleet_state::view(time_point now) const
+{
+    auto view = std::make_shared<fleet_view>();
+    view->config = m_config;
+    for (auto &[id, server] : m_backends.usable()) {
+        view->backends[server.service].emplace(id, server);
+    }
+    view->readyMembers = m_members.ready(now);
+    view->liveMembers = m_members.alive(now).size();
+    return view;
+}
+
+member_table &fleet_state::members()
+{
+    return m_members;
+}
+
+const member_table &fleet_state::members() const
+{
+    return m_members;
+}
+
+}
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -32,14 +32,17 @@
     return entry;
 }
 
-void member_table::heard(const fleet_member &member, time_point now)
+bool member_table::heard(const fleet_member &member, time_point now)
 {
     if (member.name == m_self.name) {
-        return;
+        return false;
     }
+    const auto found = m_peers.find(member.name);
+    const bool news = found == m_peers.end() || !isAlive(found->second, now) || found->second.member != member;
     peer &entry = update(member, now);
     entry.heardAt = now;
     entry.everHeard = true;
+    return news;
 }
 
 void member_table::learned(const fleet_member &member, time_point now)
--- /dev/null
+++ b/libs/fleet/src/peernotice.cpp
@@ -0,0 +1,169 @@
+#include "cardamomdeck/fleet/peernotice.h"
+
+#include <boost/leaf/error.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+/** Arrays instead of objects keep heartbeats small. */
+json toJson(const fleet_member &member)
+{
+    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready});
+}
+
+fleet_member memberFromJson(const json &fields)
+{
+    return {fields.at(0).get<std::string>(),
+            fields.at(1).get<std::string>(),
+            fields.at(2).get<std::string>(),
+            fields.at(3).get<std::int64_t>(),
+            fields.at(4).get<bool>()};
+}
+
+json toJson(const view_position &position)
+{
+    return json::array(
+        {position.configVersion, position.configEnd, position.backendsChangedAt, position.backendsEnd});
+}
+
+view_position positionFromJson(const json &fields)
+{
+    return {fields.at(0).get<std::uint64_t>(),
+            fields.at(1).get<store_offset>(),
+            fields.at(2).get<store_offset>(),
+            fields.at(3).get<store_offset>()};
+}
+
+json toJson(const backend_record &record, time_point now)
+{
+    if (!record.server) {
+        return json::array({record.id, record.offset});
+    }
+    const backend_server &server = *record.server;
+    const auto warmLeft = std::chrono::duration_cast<milliseconds>(std::max(server.warmUntil, now) - now);
+    return json::array({record.id,
+                        record.offset,
+                        server.service,
+                        server.zone,
+                        toString(server.address),
+                        server.slots,
+                        server.draining,
+                        server.bornMs,
+                        server.sequence,
+                        warmLeft.count()});
+}
+
+backend_record recordFromJson(const json &fields, time_point now)
+{
+    constexpr std::size_t removalFields = 2;
+    backend_record record{fields.at(0).get<std::string>(), fields.at(1).get<store_offset>(), std::nullopt};
+    if (fields.size() == removalFields) {
+        return record;
+    }
+    const auto address = parseSocketAddress(fields.at(4).get<std::string>());
+    if (!address) {
+        throw std::invalid_argument("address of a back end is not valid");
+    }
+    backend_server server;
+    server.id = record.id;
+    server.service = fields.at(2).get<std::string>();
+    server.zone = fields.at(3).get<std::string>();
+    server.address = *address;
+    server.slots = fields.at(5).get<std::uint32_t>();
+    server.draining = fields.at(6).get<bool>();
+    server.bornMs = fields.at(7).get<std::int64_t>();
+    server.sequence = fields.at(8).get<std::uint64_t>();
+    server.warmUntil = now + milliseconds(fields.at(9).get<std::int64_t>());
+    record.server = std::move(server);
+    return record;
+}
+
+std::string pack(const json &message)
+{
+    std::string bytes;
+    json::to_msgpack(message, bytes);
+    return bytes;
+}
+
+/** Runs @p decode and turns what the JSON library throws into an error. */
+template<typename decoder>
+auto unpack(std::string_view message, decoder decode) -> leaf::result<decltype(decode(json()))>
+{
+    try {
+        return decode(json::from_msgpack(message));
+    } catch (const std::exception &error) {
+        return leaf::new_error(failure{result_code::frame_malformed, error.what()});
+    }
+}
+
+}
+
+std::string encode(const peer_notice &notice)
+{
+    json message = json::array({toJson(notice.sender), toJson(notice.position)});
+    if (notice.age) {
+        message.push_back(notice.age->count());
+    }
+    return pack(message);
+}
+
+std::string encode(const view_question &question)
+{
+    return pack(toJson(question.position));
+}
+
+std::string encode(const view_answer &answer, time_point now)
+{
+    json backends = json::array();
+    for (const backend_record &record : answer.backends) {
+        backends.push_back(toJson(record, now));
+    }
+    json members = json::array();
+    for (const fleet_member &member : answer.members) {
+        members.push_back(toJson(member));
+    }
+    return pack(json::array({toJson(answer.position), answer.config.value_or(std::string()), backends, members}));
+}
+
+leaf::result<peer_notice> decodeNotice(std::string_view message)
+{
+    return unpack(message, [](const json &fields) {
+        peer_notice notice{memberFromJson(fields.at(0)), positionFromJson(fields.at(1)), std::nullopt};
+        if (fields.size() > 2) {
+            notice.age = milliseconds(fields.at(2).get<std::int64_t>());
+        }
+        return notice;
+    });
+}
+
+leaf::result<view_question> decodeQuestion(std::string_view message)
+{
+    return unpack(message, [](const json &fields) { return view_question{positionFromJson(fields)}; });
+}
+
+leaf::result<view_answer> decodeAnswer(std::string_view message, time_point now)
+{
+    return unpack(message, [now](const json &fields) {
+        view_answer answer;
+        answer.position = positionFromJson(fields.at(0));
+        if (auto config = fields.at(1).get<std::string>(); !config.empty()) {
+            answer.config = std::move(config);
+        }
+        for (const json &record : fields.at(2)) {
+            answer.backends.push_back(recordFromJson(record, now));
+        }
+        for (const json &member : fields.at(3)) {
+            answer.members.push_back(memberFromJson(member));
+        }
+        return answer;
+    });
+}
+
+}
--- a/libs/fleet/src/readschedule.cpp
+++ b/libs/fleet/src/readschedule.cpp
@@ -20,6 +20,13 @@
     m_pause = milliseconds(0);
 }
 
+void read_schedule::distrust(time_point now)
+{
+    m_freshAt = std::min(m_freshAt, now - lastAge);
+    m_pausedUntil = now;
+    m_pause = milliseconds(0);
+}
+
 time_point read_schedule::nextRead(std::size_t rank) const
 {
     const auto steps = static_cast<milliseconds::rep>(rank);
