--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -140,7 +140,10 @@
 
 asio::awaitable<void> request_forwarding::collect(std::vector<backend_traffic_ptr> group, milliseconds patience)
 {
-    group.resize(std::min(group.size(), probesPerZoneGroup));
+    service_traffic &service = *m_request.service;
+    const std::size_t wanted = std::min(group.size(), probesPerZoneGroup);
+    group.resize(
+        service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
     if (group.empty()) {
         co_return;
     }
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -12,8 +12,9 @@
 
 }
 
-traffic_directory::traffic_directory(repeat_limits limits)
+traffic_directory::traffic_directory(repeat_limits limits, double probesPerBackend)
     : m_limits(limits)
+    , m_probesPerBackend(probesPerBackend)
 {
 }
 
@@ -22,7 +23,7 @@
     for (const auto &[name, profile] : view.config->services) {
         service_traffic_ptr &service = m_services[name];
         if (!service) {
-            service = std::make_shared<service_traffic>(m_limits);
+            service = std::make_shared<service_traffic>(m_limits, m_probesPerBackend);
         }
         service->profile = profile;
     }
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -8,6 +8,7 @@
 #include "cardamomdeck/dispatch/backendhealth.h"
 #include "cardamomdeck/dispatch/loadreport.h"
 #include "cardamomdeck/dispatch/pacestatistics.h"
+#include "cardamomdeck/dispatch/probeallowance.h"
 #include "cardamomdeck/dispatch/repeatbudget.h"
 #include "cardamomdeck/fleet/fleetview.h"
 
@@ -43,15 +44,17 @@
 /** One service as this entry uses it. */
 struct service_traffic
 {
-    /** A service whose repeats are bound by @p limits. */
-    explicit service_traffic(repeat_limits limits)
+    /** A service whose repeats are bound by @p limits, and its probes by @p probesPerBackend a second. */
+    service_traffic(repeat_limits limits, double probesPerBackend)
         : repeats(limits)
+        , probesAllowed(probesPerBackend)
     {
     }
 
     service_profile profile;
     std::map<std::string, backend_traffic_ptr> backends;
     repeat_budget repeats;
+    probe_allowance probesAllowed;
     /** Weight of a new sample: some twenty samples make up most of a mean. */
     static constexpr double sampleWeight = 0.05;
     /** Pace that load reports tell. */
@@ -74,8 +77,8 @@
 class traffic_directory
 {
 public:
-    /** Services whose repeats are bound by @p limits. */
-    explicit traffic_directory(repeat_limits limits);
+    /** Services whose repeats are bound by @p limits, and their probes by @p probesPerBackend a second. */
+    traffic_directory(repeat_limits limits, double probesPerBackend);
 
     /** Takes over a new view; what is known of remaining servers is kept. */
     void install(const fleet_view &view);
@@ -88,6 +91,7 @@
 
 private:
     repeat_limits m_limits;
+    double m_probesPerBackend;
     std::map<std::string, service_traffic_ptr> m_services;
 };
 
--- a/libs/dispatch/include/cardamomdeck/dispatch/loadreport.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/loadreport.h
@@ -47,8 +47,8 @@
  * Estimates a request that is sent to a server with @p report, on which
  * @p sentSince requests of this entry have arrived since the report.
  *
- * The pace of a shared machine lasts for a short time only: work beyond that
- * is expected at the average pace @p averagePace.
+ * Work goes on at the pace at which it starts: that of the report where a slot
+ * is free, and else an unknown one, for which @p averagePace stands.
  */
 completion_estimate
 estimateCompletion(const load_report &report, std::uint32_t sentSince, const work_profile &work, double averagePace);
--- a/libs/dispatch/src/backendchoice.cpp
+++ b/libs/dispatch/src/backendchoice.cpp
@@ -20,8 +20,8 @@
 /** Expected time of a server that reports nothing, as a multiple of the usual time. */
 constexpr double silentFactor = 3.0;
 
-/** Part of the objective that an expected answer may take before other zones are asked. */
-constexpr double comfortablePart = 0.6;
+/** Multiple of the usual time up to which an expected answer is good enough; a slow server also blocks its slot. */
+constexpr double goodFactor = 2.0;
 
 double expectedMs(const backend_candidate &candidate, const choice_request &request, bool *slotFree)
 {
@@ -63,7 +63,7 @@
 
 bool isWorthLookingFurther(const std::optional<backend_choice> &choice, const choice_request &request)
 {
-    return !choice || !choice->slotFree || choice->expectedMs > comfortablePart * request.objectiveMs;
+    return !choice || !choice->slotFree || choice->expectedMs > goodFactor * request.work.requestMs;
 }
 
 }
--- a/libs/dispatch/src/loadreport.cpp
+++ b/libs/dispatch/src/loadreport.cpp
@@ -6,21 +6,9 @@
 
 namespace {
 
-/** Mean time in milliseconds for which a reported pace goes on; neighbours' load turns over in some 150 ms. */
-constexpr double paceLifetimeMs = 75.0;
-
 /** Slowdown of a server that is completely busy, against an idle one; measured on servers with two slots. */
 constexpr double fullSlowdown = 0.4;
 
-double workAtPace(double workMs, double pace, double averagePace)
-{
-    const double atPace = workMs * pace;
-    if (atPace <= paceLifetimeMs) {
-        return atPace;
-    }
-    return paceLifetimeMs + (workMs - paceLifetimeMs / pace) * averagePace;
-}
-
 }
 
 completion_estimate
@@ -30,12 +18,16 @@
     const double pace = std::max(report.pace, 0.1);
     const double running = std::min<double>(report.running + sentSince, slots);
     const double ahead = report.waiting + (report.running + sentSince - running);
+    const double share = std::min(1.0, (running + 1.0) / slots);
+    const double slowdown = 1.0 + fullSlowdown * share;
     completion_estimate estimate;
-    if (running >= slots) {
-        estimate.waitMs = (ahead + 1.0) / slots * workAtPace(work.serviceMs, pace, averagePace);
+    if (running < slots) {
+        // Work keeps the pace at which it starts.
+        estimate.workMs = work.requestMs * pace * slowdown;
+        return estimate;
     }
-    const double share = std::min(1.0, (running + 1.0) / slots);
-    estimate.workMs = workAtPace(work.requestMs, pace, averagePace) * (1.0 + fullSlowdown * share);
+    estimate.waitMs = (ahead + 1.0) / slots * work.serviceMs * averagePace * slowdown;
+    estimate.workMs = work.requestMs * averagePace * slowdown;
     return estimate;
 }
 
--- /dev/null
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -0,0 +1,197 @@
+#include "cardamomdeck/fleet/fleetstate.h"
+
+#include <criterion/criterion.h>
+
+using namespace cardamomdeck;
+
+namespace {
+
+const time_point start{seconds(1000)};
+
+fleet_member member(const std::string &name)
+{
+    return {name, "a", "10.0.0." + name.substr(1), 100, false};
+}
+
+traffic_config config(std::uint64_t version)
+{
+    traffic_config value;
+    value.version = version;
+    return value;
+}
+
+backend_record backend(const std::string &id, store_offset offset)
+{
+    backend_server server;
+    server.id = id;
+    server.service = "lots";
+    server.address = {"10.0.1.1", 80};
+    server.bornMs = 1;
+    server.sequence = offset + 1;
+    return {id, offset, server};
+}
+
+store_reading reading(time_point at, std::uint64_t version, std::vector<backend_record> backends)
+{
+    store_reading value;
+    value.startedAt = at;
+    value.config = config(version);
+    value.configText = "v" + std::to_string(version);
+    value.configEnd = version;
+    value.backendsEnd = backends.empty() ? 0 : backends.back().offset + 1;
+    value.backends = std::move(backends);
+    return value;
+}
+
+/** Lets @p to hear of @p from, and ask it if it knows more. */
+void exchange(fleet_state &from, fleet_state &to, time_point now)
+{
+    const peer_notice notice = from.notice(now);
+    if (!to.hear(notice, now).ask) {
+        return;
+    }
+    const view_answer answer = from.answer({to.position()}, now);
+    std::optional<traffic_config> newer;
+    if (answer.config) {
+        newer = config(answer.position.configVersion);
+    }
+    to.applyAnswer(answer, newer, notice.age, now, now);
+}
+
+}
+
+TestSuite(one_entry_reads_and_tells_the_others);
+
+Test(one_entry_reads_and_tells_the_others, a_peer_takes_over_what_it_lacks)
+{
+    fleet_state reader(member("e1"));
+    fleet_state peer(member("e2"));
+    reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    exchange(reader, peer, start);
+    cr_assert_eq(peer.view(start)->config->version, 3);
+    cr_assert_eq(peer.view(start)->backends.at("lots").size(), 1);
+    cr_assert(peer.position() == reader.position());
+}
+
+Test(one_entry_reads_and_tells_the_others, a_peer_that_knows_as_much_only_notes_the_age)
+{
+    fleet_state reader(member("e1"));
+    fleet_state peer(member("e2"));
+    reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    exchange(reader, peer, start);
+    const time_point later = start + milliseconds(500);
+    reader.applyReading(reading(later, 3, {}), later);
+    cr_assert_not(peer.hear(reader.notice(later), later).ask);
+    cr_assert_geq(peer.nextRead(later), later + read_schedule::firstAge);
+}
+
+Test(one_entry_reads_and_tells_the_others, an_age_is_not_taken_over_before_its_news)
+{
+    fleet_state reader(member("e2"));
+    fleet_state peer(member("e1"));
+    peer.applyReading(reading(start, 3, {}), start);
+    const time_point later = start + milliseconds(900);
+    reader.applyReading(reading(later, 4, {}), later);
+    const time_point before = peer.nextRead(later);
+    cr_assert(peer.hear(reader.notice(later), later).ask);
+    cr_assert_eq(peer.nextRead(later), before);
+}
+
+TestSuite(the_configuration_never_goes_back);
+
+Test(the_configuration_never_goes_back, an_older_version_from_the_store_or_a_peer_is_ignored)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 5, {}), start);
+    cr_assert_not(entry.applyReading(reading(start, 4, {}), start));
+    view_answer stale;
+    stale.config = "v4";
+    stale.position.configVersion = 4;
+    entry.applyAnswer(stale, config(4), milliseconds(0), start, start);
+    cr_assert_eq(entry.view(start)->config->version, 5);
+}
+
+TestSuite(readers_fall_silent);
+
+Test(readers_fall_silent, every_entry_reads_before_its_view_is_too_old_whatever_its_rank)
+{
+    fleet_state last(member("e9"));
+    for (int i = 1; i < 9; ++i) {
+        last.hear({member("e" + std::to_string(i)), {}, std::nullopt}, start);
+    }
+    last.applyReading(reading(start, 3, {}), start);
+    cr_assert_leq(last.nextRead(start), start + read_schedule::lastAge);
+}
+
+Test(readers_fall_silent, the_next_by_rank_reads_a_moment_after_the_first)
+{
+    fleet_state first(member("e1"));
+    fleet_state second(member("e2"));
+    second.hear({member("e1"), {}, std::nullopt}, start);
+    first.applyReading(reading(start, 3, {}), start);
+    second.applyReading(reading(start, 3, {}), start);
+    cr_assert_lt(first.nextRead(start), second.nextRead(start));
+}
+
+Test(readers_fall_silent, a_failed_read_is_repeated_after_a_growing_pause)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    const time_point failedAt = start + seconds(1);
+    entry.noteReadFailed(failedAt);
+    const time_point first = entry.nextRead(failedAt);
+    entry.noteReadFailed(first);
+    cr_assert_gt(entry.nextRead(first) - first, first - failedAt);
+    cr_assert_leq(entry.nextRead(first) - first, read_schedule::longestPause);
+}
+
+TestSuite(the_process_was_suspended);
+
+Test(the_process_was_suspended, its_view_is_read_again_at_once)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    entry.noteSuspended(start + milliseconds(10));
+    cr_assert_leq(entry.nextRead(start), start + milliseconds(10));
+}
+
+TestSuite(an_entry_shuts_down);
+
+Test(an_entry_shuts_down, callers_are_not_sent_to_it_any_more)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    cr_assert_eq(entry.view(start)->readyMembers.size(), 1);
+    entry.startLeaving();
+    cr_assert(entry.view(start)->readyMembers.empty());
+    entry.applyReading(reading(start, 4, {}), start);
+    cr_assert(entry.view(start)->readyMembers.empty());
+}
+
+TestSuite(messages_between_entries);
+
+Test(messages_between_entries, keep_their_content)
+{
+    fleet_state reader(member("e1"));
+    reader.applyReading(reading(start, 3, {backend("s", 0), backend("t", 1)}), start);
+    const peer_notice notice = reader.notice(start + milliseconds(30));
+    cr_assert(decodeNotice(encode(notice)).value() == notice);
+    const view_question question{{1, 2, 3, 4}};
+    cr_assert(decodeQuestion(encode(question)).value() == question);
+    view_answer answer = reader.answer({}, start);
+    for (backend_record &record : answer.backends) {
+        record.server->warmUntil = start + milliseconds(700);
+    }
+    cr_assert(decodeAnswer(encode(answer, start), start).value() == answer);
+}
+
+Test(messages_between_entries, damaged_ones_are_refused)
+{
+    fleet_state reader(member("e1"));
+    reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    const std::string whole = encode(reader.answer({}, start), start);
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        cr_assert_not(decodeAnswer(whole.substr(0, size), start));
+    }
+    cr_assert_not(decodeNotice("\x93\x01\x02\x03"));
+}
