Hear of members through others in large fleets, and send small changes with the notice

Cause: at 116 entries each heartbeat to all costs some 600 datagrams a second at every entry, and each change makes all of them ask the reader. Heartbeats now go to 6 entries of the own zone and tell of others; two entries of a zone tell the other zones. Up to 16 entries all still hear all.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <random>
 
 namespace cardamomdeck {
 
@@ -81,6 +82,7 @@
     : m_context(context)
     , m_settings(settings)
     , m_publish(std::move(publish))
+    , m_random(std::random_device()())
     , m_state(makeSelf(settings))
     , m_link(context, m_state)
     , m_store(context.get_executor(), settings.store)
@@ -120,7 +122,7 @@
                     }
                 }
                 log_line("members_read").add("count", read.records.size()).info();
-                broadcast();
+                tellAll(m_state.notice(steady::now()));
                 co_return;
             }
         }
@@ -167,7 +169,7 @@
             .info();
         publish();
     }
-    broadcast();
+    tellAll(m_state.news(before, steady::now()));
     co_return true;
 }
 
@@ -246,6 +248,15 @@
         m_asking = true;
         asio::co_spawn(m_context, askPeer(notice), asio::detached);
     }
+    if (heard.viewChanged) {
+        log_line("view_changed")
+            .add("source", notice.sender.name)
+            .add("config", m_state.position().configVersion)
+            .add("backends_changed_at", m_state.position().backendsChangedAt)
+            .add("age_ms", notice.age->count())
+            .info();
+        publish();
+    }
     if (!heard.memberChanged) {
         return;
     }
@@ -282,22 +293,35 @@
             .add("backends_changed_at", m_state.position().backendsChangedAt)
             .add("age_ms", notice.age->count())
             .info();
-        broadcast();
     }
     publish();
 }
 
-void fleet_control::broadcast()
+void fleet_control::tellAll(const peer_notice &notice)
 {
     std::vector<std::string> hosts;
     for (const fleet_member &peer : m_state.members().peers()) {
         hosts.push_back(peer.host);
     }
-    if (hosts.empty()) {
-        hosts = m_settings.seedHosts;
-        std::erase(hosts, m_settings.host);
+    m_link.send(notice, hosts);
+}
+
+void fleet_control::sendHeartbeat()
+{
+    const time_point now = steady::now();
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const fleet_member &peer : m_state.members().heartbeatTargets(now, m_random)) {
+        (peer.zone == m_settings.zone ? near : far).push_back(peer.host);
+    }
+    if (near.empty() && far.empty()) {
+        near = m_settings.seedHosts;
+        std::erase(near, m_settings.host);
+    }
+    m_link.send(m_state.heartbeat(now), near);
+    if (!far.empty()) {
+        m_link.send(m_state.farHeartbeat(now), far);
     }
-    m_link.send(m_state.notice(steady::now()), hosts);
 }
 
 asio::awaitable<void> fleet_control::heartbeatLoop()
@@ -306,7 +330,7 @@
         co_await sleepUntil(steady::now() + heartbeatPeriod);
         checkSuspension();
         m_state.expire(steady::now());
-        broadcast();
+        sendHeartbeat();
         publish();
     }
 }
@@ -335,7 +359,7 @@
 void fleet_control::startLeaving()
 {
     m_state.startLeaving();
-    broadcast();
+    tellAll(m_state.notice(steady::now()));
     publish();
 }
 
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -6,6 +6,7 @@
 
 #include "peerlink.h"
 
+#include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/fleet/fleetstate.h"
 #include "cardamomdeck/platform/platformsettings.h"
 #include "cardamomdeck/platform/storeclient.h"
@@ -54,7 +55,8 @@
     boost::asio::awaitable<bool> readBackends(store_reading &reading, time_point deadline);
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
-    void broadcast();
+    void tellAll(const peer_notice &notice);
+    void sendHeartbeat();
     void noteStore(bool available);
     void publish();
     void checkSuspension();
@@ -62,6 +64,7 @@
     boost::asio::io_context &m_context;
     const platform::platform_settings &m_settings;
     publisher m_publish;
+    random_source m_random;
     fleet_state m_state;
     peer_link m_link;
     platform::store_client m_store;
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -30,8 +30,8 @@
 /** Largest answer in bytes: a configuration of many rules and all back ends. */
 constexpr std::size_t largestFrame = 8U * 1024U * 1024U;
 
-/** Largest heartbeat in bytes; fits one packet. */
-constexpr std::size_t largestDatagram = 1400;
+/** Largest heartbeat in bytes. */
+constexpr std::size_t largestDatagram = 4096;
 
 /** Logs and drops what cannot be decoded. */
 template<typename decoder>
@@ -95,7 +95,7 @@
 
 void peer_link::send(const peer_notice &notice, const std::vector<std::string> &hosts)
 {
-    const std::string bytes = encode(notice);
+    const std::string bytes = encode(notice, steady::now());
     for (const std::string &host : hosts) {
         beast::error_code error;
         const auto address = asio::ip::make_address(host, error);
@@ -119,7 +119,7 @@
             continue;
         }
         const std::string_view message(buffer.data(), size);
-        if (const auto notice = decodeOrDrop([&] { return decodeNotice(message); })) {
+        if (const auto notice = decodeOrDrop([&] { return decodeNotice(message, steady::now()); })) {
             m_notice(*notice);
         }
     }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -54,6 +54,8 @@
         bool ask = false;
         /** Something about the sender changed. */
         bool memberChanged = false;
+        /** The notice brought changes of backend servers. */
+        bool viewChanged = false;
     };
 
     /** Takes over a heartbeat. */
@@ -69,9 +71,18 @@
     /** Answers a peer's question. */
     view_answer answer(const view_question &question, time_point now) const;
 
-    /** The heartbeat to send at @p now. */
+    /** How much is known and how old it is, at @p now. */
     peer_notice notice(time_point now) const;
 
+    /** The regular heartbeat within the own zone: a notice with some of the members heard of. */
+    peer_notice heartbeat(time_point now);
+
+    /** The regular heartbeat to other zones, with members of the own zone. */
+    peer_notice farHeartbeat(time_point now);
+
+    /** A notice with the changes after @p before, if they are few. */
+    peer_notice news(const view_position &before, time_point now) const;
+
     /** Forgets lapsed servers and silent members; true when the view changed. */
     bool expire(time_point now);
 
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/randomsource.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,12 +29,31 @@
     bool operator==(const fleet_member &) const = default;
 };
 
+/** A member, and how long ago it was heard. */
+struct member_sighting
+{
+    fleet_member member;
+    milliseconds age{0};
+
+    bool operator==(const member_sighting &) const = default;
+};
+
 /** Members by name, with the time at which each was heard last. */
 class member_table
 {
 public:
+    /** Fleets up to this size exchange heartbeats between all members. */
+    static constexpr std::size_t fullMeshSize = 16;
+    /** In larger fleets: members of the own zone that a heartbeat is sent to. */
+    static constexpr std::size_t gossipFanout = 6;
+    /** Members of each zone that send heartbeats to other zones. */
+    static constexpr std::size_t reportersPerZone = 2;
     /** Silence after which a member counts as down: four heartbeats. */
     static constexpr milliseconds silenceLimit{1700};
+    /** The same in larger fleets, where members hear of each other through others. */
+    static constexpr milliseconds gossipSilenceLimit{3200};
+    /** The same for members of other zones, of which only a few are told. */
+    static constexpr milliseconds farSilenceLimit{6000};
     /** Silence after which a member is forgotten. */
     static constexpr milliseconds forgetLimit{60'000};
 
@@ -52,6 +72,18 @@
     /** Learns of a member from the store or a peer; it does not count as heard. */
     void learned(const fleet_member &member, time_point now);
 
+    /** Notes that another member heard @p member at @p at. */
+    void sighted(const fleet_member &member, time_point at, time_point now);
+
+    /** Members to send the next heartbeat to. */
+    std::vector<fleet_member> heartbeatTargets(time_point now, random_source &random) const;
+
+    /** Up to @p count live members in turn, for a heartbeat; none in a fleet where all hear all. */
+    std::vector<member_sighting> sightings(std::size_t count, time_point now);
+
+    /** The same for a heartbeat to another zone: members of the own zone only. */
+    std::vector<member_sighting> zoneSightings(std::size_t count, time_point now);
+
     /** Forgets members that have been silent for long. */
     void expire(time_point now);
 
@@ -77,10 +109,17 @@
     };
 
     bool isAlive(const peer &entry, time_point now) const;
+    bool isLarge() const;
+    std::vector<member_sighting>
+    nextSightings(std::size_t count, time_point now, bool ownZoneOnly, std::string &last) const;
+    bool isReporter(time_point now) const;
     peer &update(const fleet_member &member, time_point now);
 
     fleet_member m_self;
     std::map<std::string, peer> m_peers;
+    /** Names of the members that were reported last. */
+    std::string m_lastSighting;
+    std::string m_lastZoneSighting;
 };
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/peernotice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -33,6 +33,15 @@
     bool operator==(const view_position &) const = default;
 };
 
+/** The changes of backend servers after an offset. */
+struct backend_changes
+{
+    store_offset after = 0;
+    std::vector<backend_record> records;
+
+    bool operator==(const backend_changes &) const = default;
+};
+
 /** Heartbeat, sent as a datagram. */
 struct peer_notice
 {
@@ -40,6 +49,10 @@
     view_position position;
     /** Time since the sender's view was known to be complete; none if it never was. */
     std::optional<milliseconds> age;
+    /** Members that the sender has heard of, so that not every entry has to hear every other. */
+    std::vector<member_sighting> sightings;
+    /** Changes that are small enough to be sent at once. */
+    std::optional<backend_changes> changes;
 
     bool operator==(const peer_notice &) const = default;
 };
@@ -64,13 +77,14 @@
     bool operator==(const view_answer &) const = default;
 };
 
-std::string encode(const peer_notice &notice);
-std::string encode(const view_question &question);
-/** Times are sent as what is left at @p now. */
+/** Deadlines are sent as what is left at @p now. */
+std::string encode(const peer_notice &notice, time_point now);
+/** @copydoc encode */
 std::string encode(const view_answer &answer, time_point now);
+std::string encode(const view_question &question);
 
 /** Errors: frame_malformed. */
-boost::leaf::result<peer_notice> decodeNotice(std::string_view message);
+boost::leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now);
 /** @copydoc decodeNotice */
 boost::leaf::result<view_question> decodeQuestion(std::string_view message);
 /** @copydoc decodeNotice */
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -4,6 +4,16 @@
 
 namespace cardamomdeck {
 
+namespace {
+
+/** Members and changes in one datagram of at most 1400 bytes; one takes some 60 and 150 bytes. */
+constexpr std::size_t sightingsPerHeartbeat = 20;
+/** A zone of some 40 members in one datagram, which is sent rarely. */
+constexpr std::size_t sightingsToOtherZones = 40;
+constexpr std::size_t changesPerNotice = 6;
+
+}
+
 fleet_state::fleet_state(fleet_member self)
     : m_members(std::move(self))
 {
@@ -65,9 +75,17 @@
 {
     hearing result;
     result.memberChanged = m_members.heard(notice.sender, now);
+    for (const member_sighting &sighting : notice.sightings) {
+        m_members.sighted(sighting.member, now - sighting.age, now);
+    }
     if (!notice.age) {
         return result;
     }
+    if (m_complete && notice.changes && m_backends.changedAt() >= notice.changes->after) {
+        for (const backend_record &record : notice.changes->records) {
+            result.viewChanged = m_backends.apply(record, now) || result.viewChanged;
+        }
+    }
     if (!knows(notice.position)) {
         result.ask = true;
         return result;
@@ -125,6 +143,30 @@
     return notice;
 }
 
+peer_notice fleet_state::heartbeat(time_point now)
+{
+    peer_notice beat = notice(now);
+    beat.sightings = m_members.sightings(sightingsPerHeartbeat, now);
+    return beat;
+}
+
+peer_notice fleet_state::farHeartbeat(time_point now)
+{
+    peer_notice beat = notice(now);
+    beat.sightings = m_members.zoneSightings(sightingsToOtherZones, now);
+    return beat;
+}
+
+peer_notice fleet_state::news(const view_position &before, time_point now) const
+{
+    peer_notice news = notice(now);
+    std::vector<backend_record> records = m_backends.since(before.backendsChangedAt + 1);
+    if (!records.empty() && records.size() <= changesPerNotice) {
+        news.changes = {before.backendsChangedAt, std::move(records)};
+    }
+    return news;
+}
+
 bool fleet_state::expire(time_point now)
 {
     m_members.expire(now);
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -63,7 +63,85 @@
 
 bool member_table::isAlive(const peer &entry, time_point now) const
 {
-    return entry.everHeard && now - entry.heardAt <= silenceLimit;
+    const milliseconds limit = !isLarge()                        ? silenceLimit
+                               : entry.member.zone == m_self.zone ? gossipSilenceLimit
+                                                                  : farSilenceLimit;
+    return entry.everHeard && now - entry.heardAt <= limit;
+}
+
+bool member_table::isLarge() const
+{
+    return m_peers.size() >= fullMeshSize;
+}
+
+void member_table::sighted(const fleet_member &member, time_point at, time_point now)
+{
+    if (member.name == m_self.name) {
+        return;
+    }
+    peer &entry = update(member, now);
+    // An old sighting of an earlier incarnation says nothing about the present one.
+    if (entry.member.bornMs == member.bornMs) {
+        entry.heardAt = std::max(entry.heardAt, at);
+        entry.everHeard = true;
+    }
+}
+
+bool member_table::isReporter(time_point now) const
+{
+    const auto earlier = std::ranges::count_if(m_peers, [&](const auto &item) {
+        return item.second.member.zone == m_self.zone && item.first < m_self.name && isAlive(item.second, now);
+    });
+    return static_cast<std::size_t>(earlier) < reportersPerZone;
+}
+
+std::vector<fleet_member> member_table::heartbeatTargets(time_point now, random_source &random) const
+{
+    std::vector<fleet_member> targets = peers();
+    if (!isLarge()) {
+        return targets;
+    }
+    std::ranges::shuffle(targets, random);
+    const bool reports = isReporter(now);
+    std::map<std::string, std::size_t> room;
+    std::erase_if(targets, [&](const fleet_member &target) {
+        const std::size_t most = target.zone == m_self.zone ? gossipFanout : (reports ? 1 : 0);
+        return room[target.zone]++ >= most;
+    });
+    return targets;
+}
+
+std::vector<member_sighting> member_table::sightings(std::size_t count, time_point now)
+{
+    return nextSightings(count, now, false, m_lastSighting);
+}
+
+std::vector<member_sighting> member_table::zoneSightings(std::size_t count, time_point now)
+{
+    return nextSightings(count, now, true, m_lastZoneSighting);
+}
+
+std::vector<member_sighting>
+member_table::nextSightings(std::size_t count, time_point now, bool ownZoneOnly, std::string &last) const
+{
+    std::vector<member_sighting> result;
+    if (!isLarge()) {
+        return result;
+    }
+    auto position = m_peers.upper_bound(last);
+    for (std::size_t seen = 0; seen < m_peers.size() && result.size() < count; ++seen) {
+        if (position == m_peers.end()) {
+            position = m_peers.begin();
+        }
+        const bool wanted = !ownZoneOnly || position->second.member.zone == m_self.zone;
+        if (wanted && isAlive(position->second, now)) {
+            const auto age = std::chrono::ceil<milliseconds>(now - position->second.heardAt);
+            result.push_back({position->second.member, age});
+        }
+        last = position->first;
+        ++position;
+    }
+    return result;
 }
 
 std::vector<fleet_member> member_table::peers() const
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -85,6 +85,24 @@
     return record;
 }
 
+json recordsToJson(const std::vector<backend_record> &records, time_point now)
+{
+    json list = json::array();
+    for (const backend_record &record : records) {
+        list.push_back(toJson(record, now));
+    }
+    return list;
+}
+
+std::vector<backend_record> recordsFromJson(const json &list, time_point now)
+{
+    std::vector<backend_record> records;
+    for (const json &record : list) {
+        records.push_back(recordFromJson(record, now));
+    }
+    return records;
+}
+
 std::string pack(const json &message)
 {
     std::string bytes;
@@ -105,13 +123,19 @@
 
 }
 
-std::string encode(const peer_notice &notice)
+std::string encode(const peer_notice &notice, time_point now)
 {
-    json message = json::array({toJson(notice.sender), toJson(notice.position)});
-    if (notice.age) {
-        message.push_back(notice.age->count());
+    json sightings = json::array();
+    for (const member_sighting &sighting : notice.sightings) {
+        sightings.push_back(json::array({toJson(sighting.member), sighting.age.count()}));
+    }
+    json changes = json::array();
+    if (notice.changes) {
+        changes.push_back(notice.changes->after);
+        changes.push_back(recordsToJson(notice.changes->records, now));
     }
-    return pack(message);
+    const json age = notice.age ? json(notice.age->count()) : json();
+    return pack(json::array({toJson(notice.sender), toJson(notice.position), age, sightings, changes}));
 }
 
 std::string encode(const view_question &question)
@@ -121,24 +145,32 @@
 
 std::string encode(const view_answer &answer, time_point now)
 {
-    json backends = json::array();
-    for (const backend_record &record : answer.backends) {
-        backends.push_back(toJson(record, now));
-    }
     json members = json::array();
     for (const fleet_member &member : answer.members) {
         members.push_back(toJson(member));
     }
-    return pack(json::array({toJson(answer.position), answer.config.value_or(std::string()), backends, members}));
+    return pack(json::array({toJson(answer.position),
+                             answer.config.value_or(std::string()),
+                             recordsToJson(answer.backends, now),
+                             members}));
 }
 
-leaf::result<peer_notice> decodeNotice(std::string_view message)
+leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now)
 {
-    return unpack(message, [](const json &fields) {
-        peer_notice notice{memberFromJson(fields.at(0)), positionFromJson(fields.at(1)), std::nullopt};
-        if (fields.size() > 2) {
+    return unpack(message, [now](const json &fields) {
+        peer_notice notice;
+        notice.sender = memberFromJson(fields.at(0));
+        notice.position = positionFromJson(fields.at(1));
+        if (!fields.at(2).is_null()) {
             notice.age = milliseconds(fields.at(2).get<std::int64_t>());
         }
+        for (const json &sighting : fields.at(3)) {
+            notice.sightings.push_back(
+                {memberFromJson(sighting.at(0)), milliseconds(sighting.at(1).get<std::int64_t>())});
+        }
+        if (const json &changes = fields.at(4); !changes.empty()) {
+            notice.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
+        }
         return notice;
     });
 }
@@ -156,9 +188,7 @@
         if (auto config = fields.at(1).get<std::string>(); !config.empty()) {
             answer.config = std::move(config);
         }
-        for (const json &record : fields.at(2)) {
-            answer.backends.push_back(recordFromJson(record, now));
-        }
+        answer.backends = recordsFromJson(fields.at(2), now);
         for (const json &member : fields.at(3)) {
             answer.members.push_back(memberFromJson(member));
         }
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -97,6 +97,35 @@
     cr_assert_eq(peer.nextRead(later), before);
 }
 
+Test(one_entry_reads_and_tells_the_others, a_few_changes_come_with_the_notice)
+{
+    fleet_state reader(member("e1"));
+    fleet_state peer(member("e2"));
+    reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    exchange(reader, peer, start);
+    const view_position before = reader.position();
+    const time_point later = start + milliseconds(500);
+    reader.applyReading(reading(later, 3, {backend("t", 5)}), later);
+    const fleet_state::hearing heard = peer.hear(reader.news(before, later), later);
+    cr_assert(heard.viewChanged);
+    cr_assert_not(heard.ask);
+    cr_assert_eq(peer.view(later)->backends.at("lots").size(), 2);
+}
+
+Test(one_entry_reads_and_tells_the_others, changes_with_a_gap_before_them_are_asked_for)
+{
+    fleet_state reader(member("e1"));
+    fleet_state peer(member("e2"));
+    reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    exchange(reader, peer, start);
+    reader.applyReading(reading(start, 3, {backend("t", 5)}), start);
+    const view_position missed = reader.position();
+    reader.applyReading(reading(start, 3, {backend("u", 7)}), start);
+    const fleet_state::hearing heard = peer.hear(reader.news(missed, start), start);
+    cr_assert_not(heard.viewChanged);
+    cr_assert(heard.ask);
+}
+
 TestSuite(the_configuration_never_goes_back);
 
 Test(the_configuration_never_goes_back, an_older_version_from_the_store_or_a_peer_is_ignored)
@@ -174,8 +203,13 @@
 {
     fleet_state reader(member("e1"));
     reader.applyReading(reading(start, 3, {backend("s", 0), backend("t", 1)}), start);
-    const peer_notice notice = reader.notice(start + milliseconds(30));
-    cr_assert(decodeNotice(encode(notice)).value() == notice);
+    peer_notice notice = reader.news({}, start + milliseconds(30));
+    notice.sightings = {{member("e2"), milliseconds(40)}};
+    cr_assert(notice.changes.has_value());
+    for (backend_record &record : notice.changes->records) {
+        record.server->warmUntil = start;
+    }
+    cr_assert(decodeNotice(encode(notice, start), start).value() == notice);
     const view_question question{{1, 2, 3, 4}};
     cr_assert(decodeQuestion(encode(question)).value() == question);
     view_answer answer = reader.answer({}, start);
@@ -193,5 +227,5 @@
     for (std::size_t size = 0; size < whole.size(); ++size) {
         cr_assert_not(decodeAnswer(whole.substr(0, size), start));
     }
-    cr_assert_not(decodeNotice("\x93\x01\x02\x03"));
+    cr_assert_not(decodeNotice("\x93\x01\x02\x03", start));
 }
--- a/libs/fleet/tests/membertabletest.cpp
+++ b/libs/fleet/tests/membertabletest.cpp
@@ -56,6 +56,77 @@
     cr_assert_eq(table.rank(start), 1);
 }
 
+TestSuite(a_large_fleet_gossips);
+
+namespace {
+
+/** Tables of @p count members of three zones that have learned of each other. */
+std::vector<member_table> makeFleet(int count)
+{
+    std::vector<fleet_member> members;
+    for (int i = 0; i < count; ++i) {
+        fleet_member one = member("e" + std::to_string(100 + i));
+        one.zone = std::string(1, static_cast<char>('a' + i % 3));
+        members.push_back(one);
+    }
+    std::vector<member_table> tables;
+    for (const fleet_member &self : members) {
+        member_table table(self);
+        for (const fleet_member &other : members) {
+            table.learned(other, start);
+        }
+        tables.push_back(table);
+    }
+    return tables;
+}
+
+/** One period of heartbeats among the first @p live members; returns the datagrams that crossed zones. */
+int beat(std::vector<member_table> &tables, std::size_t live, time_point now, random_source &random)
+{
+    int crossed = 0;
+    for (std::size_t i = 0; i < live; ++i) {
+        const auto near = tables[i].sightings(20, now);
+        const auto far = tables[i].zoneSightings(40, now);
+        for (const fleet_member &target : tables[i].heartbeatTargets(now, random)) {
+            const bool crosses = target.zone != tables[i].self().zone;
+            crossed += crosses ? 1 : 0;
+            for (std::size_t j = 0; j < live; ++j) {
+                if (tables[j].self().name != target.name) {
+                    continue;
+                }
+                tables[j].heard(tables[i].self(), now);
+                for (const member_sighting &sighting : crosses ? far : near) {
+                    tables[j].sighted(sighting.member, now - sighting.age, now);
+                }
+            }
+        }
+    }
+    return crossed;
+}
+
+}
+
+Test(a_large_fleet_gossips, all_members_are_known_alive_and_a_dead_one_is_noticed)
+{
+    std::vector<member_table> tables = makeFleet(117);
+    random_source random(3);
+    time_point now = start;
+    int crossed = 0;
+    for (int period = 0; period < 30; ++period) {
+        now += milliseconds(400);
+        crossed = beat(tables, tables.size(), now, random);
+    }
+    for (const member_table &table : tables) {
+        cr_assert_eq(table.alive(now).size(), tables.size());
+    }
+    cr_assert_leq(crossed, 12);
+    for (int period = 0; period < 25; ++period) {
+        now += milliseconds(400);
+        beat(tables, tables.size() - 1, now, random);
+    }
+    cr_assert_eq(tables.front().alive(now).size(), tables.size() - 1);
+}
+
 TestSuite(rules_match_requests);
 
 Test(rules_match_requests, the_longest_prefix_of_the_host_wins)
