--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -33,6 +33,19 @@
 /** Pause before the entry announces itself to the store again. */
 constexpr milliseconds announcePause{1500};
 
+/** Time for which a starting entry waits for a peer's view before it reads the store; spread at random. */
+constexpr milliseconds shortestFirstWait{40};
+constexpr milliseconds longestFirstWait{250};
+
+/** Period in which a starting entry greets the seeds. */
+constexpr milliseconds greetingPeriod{20};
+
+/** Time after which an entry that no peer has introduced reads the members from the store. */
+constexpr milliseconds introductionTime{1000};
+
+/** Period in which the first entry by rank reads the members, so that parts of the fleet find each other. */
+constexpr milliseconds membersPeriod{20'000};
+
 /** Jump between the clocks above which the process counts as having been suspended. */
 constexpr milliseconds suspensionLimit{300};
 
@@ -99,6 +112,8 @@
     }
     asio::co_spawn(
         m_context, [this]() -> asio::awaitable<void> { co_await readLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await membershipLoop(); }, asio::detached);
     asio::co_spawn(
         m_context, [this]() -> asio::awaitable<void> { co_await heartbeatLoop(); }, asio::detached);
     return code;
@@ -107,34 +122,68 @@
 asio::awaitable<void> fleet_control::announceSelf()
 {
     for (;;) {
-        const time_point deadline = steady::now() + storeTimeout;
         const std::string record = platform::encodeMember(m_state.members().self());
-        const result_code written = co_await m_store.write(store_topic::members, m_settings.vmName, record, deadline);
+        const result_code written = co_await m_store.write(
+            store_topic::members, m_settings.vmName, record, steady::now() + storeTimeout);
         if (written == result_code::ok) {
-            // Every entry writes before it reads, so that of two that start together one sees the other.
-            const platform::keyed_read read = co_await m_store.readNewest(store_topic::members, deadline);
-            if (read.code == result_code::ok) {
-                for (const platform::keyed_record &item : read.records) {
-                    const auto member = decodeOrLog(
-                        item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
-                    if (member) {
-                        m_state.members().learned(*member, steady::now());
-                    }
-                }
-                log_line("members_read").add("count", read.records.size()).info();
-                tellAll(m_state.notice(steady::now()));
-                co_return;
-            }
+            co_return;
         }
         noteStore(false);
         co_await sleepUntil(steady::now() + announcePause);
     }
 }
 
-asio::awaitable<void> fleet_control::readLoop()
+asio::awaitable<void> fleet_control::readMembers()
+{
+    const platform::keyed_read read = co_await m_store.readNewest(store_topic::members, steady::now() + storeTimeout);
+    noteStore(read.code == result_code::ok);
+    if (read.code != result_code::ok) {
+        co_return;
+    }
+    for (const platform::keyed_record &item : read.records) {
+        const auto member =
+            decodeOrLog(item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
+        if (member) {
+            m_state.members().learned(*member, steady::now());
+        }
+    }
+    log_line("members_read").add("count", read.records.size()).info();
+    m_state.noteIntroduced();
+    tellAll(m_state.notice(steady::now()));
+}
+
+asio::awaitable<void> fleet_control::membershipLoop()
 {
-    co_await readStore();
+    // Every entry writes before it reads, so that of two that start together one sees the other.
     co_await announceSelf();
+    co_await sleepUntil(steady::now() + introductionTime);
+    for (;;) {
+        const bool readsForAll = m_state.members().rank(steady::now()) == 0;
+        if (!m_state.isIntroduced() || readsForAll) {
+            co_await readMembers();
+        }
+        co_await sleepUntil(steady::now() + (m_state.isIntroduced() ? membersPeriod : announcePause));
+    }
+}
+
+asio::awaitable<void> fleet_control::learnFirstView()
+{
+    const time_point begun = steady::now();
+    const auto spread = static_cast<milliseconds::rep>(
+        randomUnit(m_random) * static_cast<double>(longestFirstWait.count()));
+    const time_point readAt = begun + shortestFirstWait + milliseconds(spread);
+    while (!m_state.isComplete() && steady::now() < readAt) {
+        sendHeartbeat();
+        co_await sleepUntil(steady::now() + greetingPeriod);
+    }
+    if (!m_state.isComplete()) {
+        co_await readStore();
+    }
+}
+
+asio::awaitable<void> fleet_control::readLoop()
+{
+    co_await learnFirstView();
     for (;;) {
         const time_point due = m_state.nextRead(steady::now());
         if (due <= steady::now()) {
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -48,6 +48,9 @@
 
 private:
     boost::asio::awaitable<void> announceSelf();
+    boost::asio::awaitable<void> readMembers();
+    boost::asio::awaitable<void> membershipLoop();
+    boost::asio::awaitable<void> learnFirstView();
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> heartbeatLoop();
     boost::asio::awaitable<bool> readStore();
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -101,6 +101,12 @@
     /** True once a complete view has been read or received. */
     bool isComplete() const;
 
+    /** Notes that the members have been learned from the store. */
+    void noteIntroduced();
+
+    /** True once a peer or the store has named the members. */
+    bool isIntroduced() const;
+
     /** The view as one immutable value. */
     fleet_view_ptr view(time_point now) const;
 
@@ -119,6 +125,8 @@
     std::string m_configText;
     store_offset m_configEnd = 0;
     bool m_complete = false;
+    time_point m_askMembersAfter;
+    bool m_introduced = false;
     bool m_leaving = false;
 };
 
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -53,7 +53,7 @@
     /** The same in larger fleets, where members hear of each other through others. */
     static constexpr milliseconds gossipSilenceLimit{3200};
     /** The same for members of other zones, of which only a few are told. */
-    static constexpr milliseconds farSilenceLimit{6000};
+    static constexpr milliseconds farSilenceLimit{8000};
     /** Silence after which a member is forgotten. */
     static constexpr milliseconds forgetLimit{60'000};
 
@@ -109,6 +109,7 @@
     };
 
     bool isAlive(const peer &entry, time_point now) const;
+    milliseconds silenceLimitOf(const peer &entry) const;
     bool isLarge() const;
     std::vector<member_sighting>
     nextSightings(std::size_t count, time_point now, bool ownZoneOnly, std::string &last) const;
--- a/libs/fleet/include/cardamomdeck/fleet/peernotice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -49,6 +49,8 @@
     view_position position;
     /** Time since the sender's view was known to be complete; none if it never was. */
     std::optional<milliseconds> age;
+    /** Live members that the sender knows, itself included. */
+    std::size_t liveMembers = 1;
     /** Members that the sender has heard of, so that not every entry has to hear every other. */
     std::vector<member_sighting> sightings;
     /** Changes that are small enough to be sent at once. */
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t sightingsToOtherZones = 40;
 constexpr std::size_t changesPerNotice = 6;
 
+/** Shortest time between two questions for members that a peer knows and this entry does not. */
+constexpr milliseconds membersAskPause{2000};
+
 }
 
 fleet_state::fleet_state(fleet_member self)
@@ -90,6 +93,11 @@
         result.ask = true;
         return result;
     }
+    const bool lacksMembers = notice.liveMembers > m_members.alive(now).size() && now >= m_askMembersAfter;
+    if (lacksMembers) {
+        m_askMembersAfter = now + membersAskPause;
+    }
+    result.ask = !m_introduced || lacksMembers;
     noteFresh(now - *notice.age, now);
     m_configEnd = std::max(m_configEnd, notice.position.configEnd);
     m_backends.advanceTo(notice.position.backendsEnd);
@@ -105,6 +113,7 @@
     for (const fleet_member &member : answer.members) {
         m_members.learned(member, now);
     }
+    m_introduced = m_introduced || !answer.members.empty();
     if (age) {
         noteFresh(askedAt - *age, now);
     }
@@ -136,7 +145,10 @@
 
 peer_notice fleet_state::notice(time_point now) const
 {
-    peer_notice notice{m_members.self(), position(), std::nullopt};
+    peer_notice notice;
+    notice.sender = m_members.self();
+    notice.position = position();
+    notice.liveMembers = m_members.alive(now).size();
     if (m_complete) {
         notice.age = std::chrono::ceil<milliseconds>(now - m_schedule.freshAt());
     }
@@ -201,6 +213,16 @@
     return m_complete;
 }
 
+void fleet_state::noteIntroduced()
+{
+    m_introduced = true;
+}
+
+bool fleet_state::isIntroduced() const
+{
+    return m_introduced;
+}
+
 fleet_view_ptr fleet_state::view(time_point now) const
 {
     auto view = std::make_shared<fleet_view>();
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -63,10 +63,15 @@
 
 bool member_table::isAlive(const peer &entry, time_point now) const
 {
-    const milliseconds limit = !isLarge()                        ? silenceLimit
-                               : entry.member.zone == m_self.zone ? gossipSilenceLimit
-                                                                  : farSilenceLimit;
-    return entry.everHeard && now - entry.heardAt <= limit;
+    return entry.everHeard && now - entry.heardAt <= silenceLimitOf(entry);
+}
+
+milliseconds member_table::silenceLimitOf(const peer &entry) const
+{
+    if (!isLarge()) {
+        return silenceLimit;
+    }
+    return entry.member.zone == m_self.zone ? gossipSilenceLimit : farSilenceLimit;
 }
 
 bool member_table::isLarge() const
@@ -134,7 +139,10 @@
             position = m_peers.begin();
         }
         const bool wanted = !ownZoneOnly || position->second.member.zone == m_self.zone;
-        if (wanted && isAlive(position->second, now)) {
+        // A sighting that is older is of little use to others.
+        const bool recent = position->second.everHeard
+                            && now - position->second.heardAt <= silenceLimitOf(position->second) / 2;
+        if (wanted && recent) {
             const auto age = std::chrono::ceil<milliseconds>(now - position->second.heardAt);
             result.push_back({position->second.member, age});
         }
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -135,7 +135,7 @@
         changes.push_back(recordsToJson(notice.changes->records, now));
     }
     const json age = notice.age ? json(notice.age->count()) : json();
-    return pack(json::array({toJson(notice.sender), toJson(notice.position), age, sightings, changes}));
+    return pack(json::array({toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes}));
 }
 
 std::string encode(const view_question &question)
@@ -164,11 +164,12 @@
         if (!fields.at(2).is_null()) {
             notice.age = milliseconds(fields.at(2).get<std::int64_t>());
         }
-        for (const json &sighting : fields.at(3)) {
+        notice.liveMembers = fields.at(3).get<std::size_t>();
+        for (const json &sighting : fields.at(4)) {
             notice.sightings.push_back(
                 {memberFromJson(sighting.at(0)), milliseconds(sighting.at(1).get<std::int64_t>())});
         }
-        if (const json &changes = fields.at(4); !changes.empty()) {
+        if (const json &changes = fields.at(5); !changes.empty()) {
             notice.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
         }
         return notice;
