--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -34,8 +34,8 @@
 constexpr milliseconds announcePause{1500};
 
 /** Time for which a starting entry waits for a peer's view before it reads the store; spread at random. */
-constexpr milliseconds shortestFirstWait{40};
-constexpr milliseconds longestFirstWait{250};
+constexpr milliseconds shortestFirstWait{20};
+constexpr milliseconds longestFirstWait{120};
 
 /** Period in which a starting entry greets the seeds. */
 constexpr milliseconds greetingPeriod{20};
