Test the platform mode through separate processes

The stand-in for the store speaks log-append, log-read and log-newest, and the one for back ends the headers of the platform. Found at once: a request that all back ends refuse was answered with Retry-After 0; now the pause follows what the request would take.

--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -425,6 +425,9 @@
     }
     m_ended = true;
     m_outcome.code = code;
+    if (m_outcome.retryAfter.count() == 0) {
+        m_outcome.retryAfter = returnPause(m_expectedMs, choiceRequest(steady::now()), m_context.random);
+    }
     for (const attempt &live : m_live) {
         if (live.connection) {
             live.connection->close();
--- a/libs/dispatch/include/cardamomdeck/dispatch/admission.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/admission.h
@@ -21,6 +21,9 @@
     milliseconds retryAfter{0};
 };
 
+/** Time after which a caller may come back whose request would take @p expectedMs now; spread at random. */
+milliseconds returnPause(double expectedMs, const choice_request &request, random_source &random);
+
 /**
  * Refuses a request whose answer cannot be expected before its deadline. When
  * no slot is free, less urgent requests are refused as soon as their answer
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -17,7 +17,9 @@
 /** Returns are spread over this part of the pause, so that refused callers do not come back together. */
 constexpr double spreadPart = 0.5;
 
-milliseconds pauseFor(double expectedMs, const choice_request &request, random_source &random)
+}
+
+milliseconds returnPause(double expectedMs, const choice_request &request, random_source &random)
 {
     const double longest = std::min(longestPauseMs, pausePart * request.deadlineMs);
     const double excess = std::max(shortestPauseMs, expectedMs - request.objectiveMs);
@@ -25,8 +27,6 @@
     return milliseconds(std::max<std::int64_t>(1, std::llround(pause)));
 }
 
-}
-
 admission_decision admit(const std::optional<backend_choice> &choice,
                          const choice_request &request,
                          std::uint32_t priority,
@@ -34,13 +34,13 @@
                          random_source &random)
 {
     if (!choice) {
-        return {false, pauseFor(longestPauseMs, request, random)};
+        return {false, returnPause(longestPauseMs, request, random)};
     }
     const bool hopeless = choice->expectedMs > request.deadlineMs;
     const bool yields =
         priority > mostUrgentPriority && !choice->slotFree && choice->expectedMs > request.objectiveMs;
     if (hopeless || yields) {
-        return {false, pauseFor(choice->expectedMs, request, random)};
+        return {false, returnPause(choice->expectedMs, request, random)};
     }
     return {true, milliseconds(0)};
 }
--- a/libs/http/src/private/serverconnection.h
+++ b/libs/http/src/private/serverconnection.h
@@ -95,7 +95,8 @@
     std::optional<time_point> m_writeUntil;
     bool m_writing = false;
     bool m_timedOut = false;
-    bool m_lastRead = false;
+    /** The last answer has been written; nothing more is served. */
+    bool m_finished = false;
     bool m_closed = false;
 };
 
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -88,6 +88,9 @@
 
 void http_server::connection::enter(read_phase phase)
 {
+    if (m_finished) {
+        return;
+    }
     m_phase = phase;
     const server_options &options = m_server->options;
     const time_point now = steady::now();
@@ -113,19 +116,15 @@
     beast::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     while (co_await readRequest()) {
-        co_await waitForRoom();
     }
-    m_lastRead = true;
-    if (m_pending.empty() && m_phase != read_phase::rest) {
-        close();
-        co_return;
+    if (!m_closed) {
+        co_await dropRest();
     }
-    co_await dropRest();
 }
 
 asio::awaitable<void> http_server::connection::waitForRoom()
 {
-    while (!m_closed && m_pending.size() >= m_server->options.pipelineDepth && m_server->options.pipelineDepth > 1) {
+    while (!m_closed && !m_finished && m_pending.size() >= m_server->options.pipelineDepth) {
         co_await m_room.async_wait(asTuple);
         m_room.expires_at(time_point::max());
     }
@@ -219,11 +218,15 @@
     if (!co_await readHead(parser) || !co_await readBody(parser)) {
         co_return false;
     }
+    enter(read_phase::idle);
+    co_await waitForRoom();
+    if (m_closed || m_finished) {
+        co_return false;
+    }
     const auto entry = std::make_shared<exchange>();
     entry->keepAlive = parser.keep_alive();
     entry->request = parser.release();
     m_pending.push_back(entry);
-    enter(read_phase::idle);
     serve(entry);
     co_return entry->keepAlive && !m_closed;
 }
@@ -283,8 +286,9 @@
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
             noteCallerGone();
             m_pending.clear();
-            m_phase = read_phase::rest;
+            enter(read_phase::rest);
             m_readUntil = steady::now() + lingerTime;
+            m_finished = true;
             break;
         }
         if (m_phase == read_phase::idle) {
@@ -297,8 +301,7 @@
 
 void http_server::connection::reject(beast::error_code error)
 {
-    m_phase = read_phase::rest;
-    m_readUntil = time_point::max();
+    enter(read_phase::rest);
     if (!m_server->options.rejection) {
         close();
         return;
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -4,11 +4,17 @@
  *
  * GET /load is the load report, GET /counts tells what ran, and POST /control
  * changes the behaviour:
- *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late",
+ *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late" |
+ *             "unsealed" | "cut",
  *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N}
  * Each other request waits for a slot, runs for the service time, and is
- * recorded under its x-request-id.
+ * recorded under its x-request-id or Attempt-Id.
+ *
+ * To an entry on the users' platform it speaks that platform's headers: it
+ * answers /health, refuses requests for other instances, and seals answers.
  */
+#include "standinoptions.h"
+
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/http/httpserver.h"
@@ -22,6 +28,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <cstdio>
@@ -60,7 +67,7 @@
         , m_server(
               context.get_executor(),
               [this](http_request &request, http_session &session) { return handle(request, session); },
-              server_options{{16 * 1024, 64 * 1024 * 1024}, milliseconds(60'000), milliseconds(10'000), 65'536, {}})
+              standinOptions(65'536))
     {
     }
 
@@ -79,6 +86,14 @@
         if (target == "/counts") {
             co_return counts();
         }
+        if (target == "/health") {
+            ++m_probes;
+            co_return decorated(makeResponse(m_draining ? 503 : 200, "{}"));
+        }
+        const auto expected = request["Expect-Instance"];
+        if (!expected.empty() && expected != absl::GetFlag(FLAGS_name)) {
+            co_return decorated(makeResponse(421, "{}"));
+        }
         if (target == "/load") {
             ++m_probes;
             co_return decorated(makeResponse(200, json({{"in_flight", m_held}}).dump()));
@@ -94,11 +109,13 @@
         if (m_mode == "refuse" || m_held >= absl::GetFlag(FLAGS_slots) + m_queue) {
             http_response response = makeResponse(503, "{}");
             response.set("x-refused", "before-start");
+            response.set("Not-Executed", "1");
             ++m_refusals;
             co_return decorated(std::move(response));
         }
         ++m_held;
-        const std::string id = std::string(request["x-request-id"]);
+        const std::string attemptId = std::string(request["Attempt-Id"]);
+        const std::string id = attemptId.empty() ? std::string(request["x-request-id"]) : attemptId;
         while (m_running >= absl::GetFlag(FLAGS_slots)) {
             co_await sleep(slotPoll);
         }
@@ -117,13 +134,25 @@
         --m_held;
         ++m_finished;
         const json body = {{"backend", absl::GetFlag(FLAGS_name)}, {"id", id}, {"echo", request.body().size()}};
-        static_cast<void>(session);
-        co_return decorated(makeResponse(200, body.dump()));
+        http_response response = makeResponse(200, body.dump());
+        response.set("Attempt-Id", id);
+        if (m_mode != "unsealed") {
+            response.set("Server-Seal", absl::GetFlag(FLAGS_name));
+        }
+        if (m_mode == "cut") {
+            session.abandon();
+        }
+        co_return decorated(std::move(response));
     }
 
     http_response decorated(http_response response) const
     {
         response.set("x-load", std::to_string(m_held));
+        const std::uint32_t waiting = m_held - std::min(m_held, m_running);
+        response.set("Server-Load",
+                     std::to_string(m_running) + "," + std::to_string(waiting) + ","
+                         + std::to_string(absl::GetFlag(FLAGS_slots)) + ",100");
+        response.set("Instance-Id", absl::GetFlag(FLAGS_name));
         if (m_draining) {
             response.set("x-draining", "true");
         }
--- a/standins/logstandin.cpp
+++ b/standins/logstandin.cpp
@@ -5,9 +5,13 @@
  * Each port given is one way to reach the same streams. POST /control on a
  * port changes how that port behaves:
  *   {"mode": "ok" | "down" | "lose_answers", "delay_ms": N}
- * and, for all ports, {"retain": N} drops all but the last N records of each
+ * and, for all ports, {"compact": true} deletes the history of keyed topics,
+ * {"retain": N} drops all but the last N records of each
  * stream, and {"vms": {...}} replaces the VM list.
  */
+#include "keyedtopics.h"
+#include "standinoptions.h"
+
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/http/httpserver.h"
 
@@ -61,6 +65,7 @@
     std::map<std::string, stored_stream> streams;
     json vms = {{"version", 0}, {"live", json::array()}, {"leaving", json::array()}};
     std::uint64_t appends = 0;
+    keyed_topics keyed;
 };
 
 struct port_behaviour
@@ -85,7 +90,7 @@
         , m_server(
               context.get_executor(),
               [this](http_request &request, http_session &session) { return handle(request, session); },
-              server_options{{16 * 1024, 64 * 1024 * 1024}, milliseconds(60'000), milliseconds(10'000), 4096, {}})
+              standinOptions(4096))
     {
     }
 
@@ -109,6 +114,12 @@
         if (target == "/vms") {
             co_return makeResponse(200, m_state.vms.dump());
         }
+        if (auto answer = m_state.keyed.answer(request)) {
+            if (m_behaviour.mode == "lose_answers") {
+                session.abandon();
+            }
+            co_return std::move(*answer);
+        }
         const std::string prefix = "/streams/";
         const std::string name = target.substr(prefix.size(), target.find('/', prefix.size()) - prefix.size());
         stored_stream &stream = m_state.streams[name];
@@ -169,11 +180,14 @@
         if (wanted.contains("retain")) {
             retain(wanted["retain"].get<std::size_t>());
         }
+        if (wanted.value("compact", false)) {
+            m_state.keyed.compact();
+        }
         json ends = json::object();
         for (const auto &[name, stream] : m_state.streams) {
             ends[name] = {{"first", stream.first}, {"next", stream.next()}};
         }
-        return makeResponse(200, json({{"appends", m_state.appends}, {"streams", ends}}).dump());
+        return makeResponse(200, json({{"appends", m_state.appends}, {"keyed_calls", m_state.keyed.calls()}, {"streams", ends}}).dump());
     }
 
     void retain(std::size_t count)
--- /dev/null
+++ b/tests/system/platform_test.py
@@ -0,0 +1,207 @@
+"""Entries on the users' platform keep their promises through changes, leaving servers, faults and shutdowns."""
+
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+from fleet import ask, wait_until
+from platformfleet import HOST, PlatformFleet, route
+
+DRAIN_SECONDS = 2.0
+APPLY_SECONDS = 2.0
+
+
+class OnThePlatform(unittest.TestCase):
+    def setUp(self):
+        self.directory = self.enterContext(tempfile.TemporaryDirectory())
+        self.fleet = PlatformFleet(self.directory)
+        self.addCleanup(self.fleet.end)
+        self.store = self.fleet.store
+
+    def serve(self, **routes):
+        self.backends = [self.fleet.add_backend("s-1"), self.fleet.add_backend("s-2")]
+        self.store.put_config(5, {"lots": route("/lots/"), "weigh": route("/weigh/", kind="unsafe")} | routes)
+        self.fleet.wait_until_serving()
+        return self.fleet.entries
+
+
+class Serving(OnThePlatform):
+    def test_without_a_configuration_nothing_is_promised_and_nothing_denied(self):
+        entry = self.fleet.entries[0]
+        wait_until(lambda: entry.send("/lots/x").status == 503, what="the entry answers")
+        self.assertFalse(entry.ready())
+
+    def test_a_request_is_answered_by_a_sealed_answer_and_unknown_paths_are_not_found(self):
+        entry = self.serve()[0]
+        answer = entry.send("/lots/x", attempt="id-7")
+        self.assertEqual(answer.headers["attempt-id"], "id-7")
+        self.assertIn(answer.headers["server-seal"], ("s-1", "s-2"))
+        self.assertEqual(entry.send("/other/x").status, 404)
+
+    def test_entries_find_each_other_and_name_each_other_to_callers(self):
+        entries = self.serve()
+        expected = {entry.traffic for entry in entries}
+        for entry in entries:
+            wait_until(lambda: set(entry.addresses()) == expected, what="both addresses are named")
+
+    def test_the_id_of_a_request_leads_through_the_log(self):
+        entry = self.serve()[0]
+        entry.send("/lots/x", attempt="followed")
+        line = wait_until(lambda: entry.lines("request", id="followed"), what="the line is written")[0]
+        for part in ("rule=lots", "config=5", "service=lots", "outcome=ok", "status=200", "backend=s-"):
+            self.assertIn(part, line)
+
+
+class Malformed(OnThePlatform):
+    def test_bad_input_gets_a_clear_answer_and_harms_nobody(self):
+        entry = self.serve()[0]
+        self.assertEqual(entry.send("/lots/x", "POST", b"x" * 70000).status, 413)
+        self.assertEqual(entry.send("/lots/x", **{"Long": "y" * 20000}).status, 431)
+        self.assertEqual(ask(entry.traffic, "BAD REQUEST", "/x").status, 400)
+        self.assertEqual(entry.send("/lots/x").status, 200)
+
+    def test_foreign_records_in_the_store_are_logged_and_left_out(self):
+        entry = self.serve()[0]
+        self.store.write("keyed.servers", "odd", b"\x00\xff not json")
+        self.store.write("keyed.servers", "odder", {"address": 3})
+        wait_until(lambda: any(e.lines("record_rejected", key="odder") for e in self.fleet.entries),
+                   what="the record is logged")
+        self.assertEqual(entry.send("/lots/x").status, 200)
+
+
+class Configuration(OnThePlatform):
+    def test_a_change_is_in_force_everywhere_in_time_also_when_a_reader_has_been_killed(self):
+        entries = self.serve()
+        entries[0].kill()
+        self.store.put_config(9, {"lots": route("/lots/"), "new": route("/new/", service="lots")})
+        wait_until(lambda: entries[1].send("/new/x").status == 200, APPLY_SECONDS, "the change is in force")
+
+    def test_an_older_version_changes_nothing(self):
+        entry = self.serve()[0]
+        self.store.put_config(4, {"other": route("/other/")})
+        time.sleep(APPLY_SECONDS)
+        self.assertEqual(entry.send("/lots/x").status, 200)
+
+    def test_the_view_serves_on_while_the_store_is_away_and_changes_come_after(self):
+        entries = self.serve()
+        self.store.control(mode="down")
+        time.sleep(3)
+        for entry in entries:
+            self.assertEqual(entry.send("/lots/x").status, 200)
+        self.store.control(mode="ok")
+        self.store.put_config(9, {"new": route("/new/")})
+        for entry in entries:
+            wait_until(lambda: entry.send("/new/x").status == 200, 4, "the change is in force")
+
+    def test_a_store_that_drops_its_history_is_read_anew(self):
+        entries = self.serve()
+        self.store.control(compact=True)
+        self.store.put_config(9, {"new": route("/new/")})
+        self.store.control(compact=True)
+        for entry in entries:
+            wait_until(lambda: entry.send("/new/x").status == 200, APPLY_SECONDS, "the change is in force")
+
+    def test_a_started_entry_learns_from_its_peers_while_the_store_is_away(self):
+        entries = self.serve()
+        self.store.control(mode="down")
+        entries[1].kill()
+        again = self.fleet.start_entry(1)
+        wait_until(lambda: again.send("/lots/x").status == 200, 5, "the new entry serves")
+
+
+class Leaving(OnThePlatform):
+    def assert_no_new_work(self, backend):
+        time.sleep(DRAIN_SECONDS)
+        before = backend.counts()["started"]
+        for number in range(20):
+            self.assertEqual(self.fleet.entries[number % 2].send("/lots/x").status, 200)
+        self.assertEqual(backend.counts()["started"], before)
+
+    def test_a_draining_back_end_gets_no_new_work(self):
+        self.serve()
+        self.backends[0].report("draining")
+        self.assert_no_new_work(self.backends[0])
+
+    def test_a_removed_back_end_gets_no_new_work(self):
+        self.serve()
+        self.backends[0].remove()
+        self.assert_no_new_work(self.backends[0])
+
+    def test_a_late_report_does_not_bring_it_back(self):
+        self.serve()
+        self.backends[0].sequence = 50
+        self.backends[0].report("draining")
+        self.backends[0].sequence = 10
+        self.backends[0].report("ready")
+        self.assert_no_new_work(self.backends[0])
+
+    def test_an_address_that_another_server_has_taken_gets_nothing_that_was_meant_for_the_first(self):
+        self.serve()
+        address = self.backends[0].address
+        self.backends[0].kill()
+        port = int(address.rsplit(":", 1)[1])
+        other = self.fleet.add_backend("d-1", service="desk", port=port)
+        for number in range(20):
+            self.assertEqual(self.fleet.entries[number % 2].send("/lots/x", attempt=f"r{number}").status, 200)
+        self.assertEqual(other.counts()["started"], 0)
+
+
+class Faults(OnThePlatform):
+    def test_an_idempotent_request_is_repeated_and_another_one_is_not(self):
+        entry = self.serve()[0]
+        self.backends[0].control(mode="cut")
+        for number in range(6):
+            self.assertEqual(entry.send("/lots/x", attempt=f"safe{number}").status, 200)
+        outcomes = [entry.send("/weigh/x", "POST", b"1", attempt=f"once{number}").status for number in range(12)]
+        self.assertTrue(set(outcomes) <= {200, 502}, outcomes)
+        ran = [identity for backend in self.backends for identity in backend.counts()["ids"] if "once" in identity]
+        self.assertEqual(len(ran), len(set(ran)))
+
+    def test_an_answer_without_a_seal_never_reaches_a_caller_as_a_success(self):
+        entry = self.serve()[0]
+        for backend in self.backends:
+            backend.control(mode="unsealed")
+        self.assertEqual(entry.send("/weigh/x", "POST", b"1").status, 502)
+
+    def test_full_servers_refuse_and_the_caller_is_told_when_to_return(self):
+        entry = self.serve()[0]
+        for backend in self.backends:
+            backend.control(mode="refuse")
+        answer = entry.send("/weigh/x", "POST", b"1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertEqual(sum(backend.counts()["started"] for backend in self.backends
+                             if "weigh" in str(backend.counts()["ids"])), 0)
+
+    def test_the_rules_timeout_ends_a_request_with_an_answer(self):
+        entry = self.serve(slow=route("/slow/", timeout=0.4))[0]
+        for backend in self.backends:
+            backend.control(mode="freeze")
+        began = time.monotonic()
+        self.assertEqual(entry.send("/slow/x").status, 504)
+        self.assertLess(time.monotonic() - began, 0.9)
+
+
+class Shutdown(OnThePlatform):
+    def test_sigterm_ends_the_process_after_the_requests_in_hand(self):
+        entries = self.serve()
+        wait_until(lambda: len(entries[1].addresses()) == 2, what="both addresses are named")
+        for backend in self.backends:
+            backend.control(mode="answer_late", late_ms=800)
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(entries[0].send("/lots/x").status))
+        caller.start()
+        time.sleep(0.2)
+        entries[0].signal(signal.SIGTERM)
+        wait_until(lambda: not entries[0].ready(), 1, "not ready any more")
+        wait_until(lambda: entries[1].addresses() == [entries[1].traffic], 2, "callers are sent elsewhere")
+        caller.join()
+        self.assertEqual(answers, [200])
+        self.assertEqual(entries[0].child.wait(timeout=3.5), 0)
+        self.assertTrue(entries[0].lines("entry_stopped"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/system/platformfleet.py
@@ -0,0 +1,138 @@
+"""A fleet on the users' platform: entries with the platform's settings file, its store, and back ends in the store."""
+
+import json
+import struct
+import time
+from pathlib import Path
+
+from fleet import BIN, Backend, Process, ask, free_port, wait_until
+
+HOST = "mill.example"
+
+
+def record(key, value):
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
+
+
+class Store(Process):
+    def __init__(self, directory):
+        self.address = f"127.0.0.1:{free_port()}"
+        super().__init__("store", [BIN / "logstandin", f"--listen={self.address}"], directory)
+        wait_until(lambda: ask(self.address, "POST", "/control", "{}").status == 200, what="the store answers")
+
+    def control(self, **values):
+        return ask(self.address, "POST", "/control", json.dumps(values)).json
+
+    def write(self, topic, key, value):
+        body = record(key, value if isinstance(value, bytes) else json.dumps(value).encode())
+        assert ask(self.address, "POST", f"/v1/log-append?topic={topic}&part=0", body).status == 200
+
+    def put_config(self, version, routes, **limits):
+        self.write("keyed.op", "config", {
+            "config_version": f"{version:08x}",
+            "routes": routes,
+            "services": {"lots": {"health_path": "/health", "max_conns": 220},
+                         "desk": {"health_path": "/health", "max_conns": 220}},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_s": 1,
+                       "idle_timeout_s": 15} | limits})
+
+
+def route(prefix, service="lots", kind="safe", timeout=2.0, **more):
+    return {"host": HOST, "path_prefix": prefix, "kind": kind, "timeout_s": timeout, "target_latency_s": 0.3,
+            "priority": 1, "service": service, "max_attempts": 2} | more
+
+
+class PlatformBackend(Backend):
+    """A back end with its record in the store."""
+
+    def __init__(self, store, name, directory, service="lots", **values):
+        super().__init__(name, directory, **values)
+        self.service, self.store, self.sequence, self.born = service, store, 0, int(time.time() * 1000)
+
+    def report(self, state="ready"):
+        self.sequence += 1
+        self.store.write("keyed.servers", self.name, {
+            "address": self.address, "born": self.born,
+            "info": {"service": self.service, "config_version": "v1", "zone": self.zone, "capacity": 2},
+            "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0}})
+
+    def remove(self):
+        self.store.write("keyed.servers", self.name, b"")
+
+
+class PlatformEntry(Process):
+    """An entry; all entries of a fleet share ports, so each has a loopback address of its own."""
+
+    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a"):
+        self.host = host
+        self.traffic, self.readiness, self.resolver, self.api = (f"{host}:{port}" for port in ports[:4])
+        self.settings_path = Path(directory) / f"{name}.toml"
+        self.settings_path.write_text(f"""
+node_name = "{name}"
+ip = "{host}"
+zone = "{zone}"
+region = "region"
+internal_ports = [{ports[4]}, {ports[4] + 1}]
+seeds = [{", ".join(f'"{seed}:1"' for seed in seeds)}]
+parameters = ["grace_s=3", "retry_ratio=0.2", "retry_slack=58", "retry_window_s=10", "probes_per_s=60", "ttl_max_s=5"]
+[listen]
+frontend = "{self.traffic}"
+readiness = "{self.readiness}"
+registry = "{self.resolver}"
+control = "{self.api}"
+[platform]
+address = "{store.address}"
+""")
+        super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}"], directory)
+
+    def ready(self):
+        return ask(self.readiness, "GET", "/v1/ready", timeout=1).status == 200
+
+    def addresses(self, zone="zone-a"):
+        answer = ask(self.resolver, "GET", f"/v1/resolve?name={HOST}&region=region&zone={zone}")
+        return answer.json.get("addresses", []) if answer.status == 200 else []
+
+    def send(self, path, method="GET", body=None, attempt="a1", deadline_ms=2000, **headers):
+        return ask(self.traffic, method, path, body, {"Host": HOST, "Attempt-Id": attempt,
+                                                      "Deadline-Ms": str(deadline_ms)} | headers)
+
+    def lines(self, event, **fields):
+        wanted = [f"event={event} "] + [f"{key}={value}" for key, value in fields.items()]
+        return [line for line in self.log().splitlines() if all(part in line for part in wanted)]
+
+
+class PlatformFleet:
+    """Entries, back ends and the store; ends all of them."""
+
+    def __init__(self, directory, entries=2):
+        self.directory = directory
+        self.store = Store(directory)
+        self.ports = [free_port() for _ in range(4)] + [free_port()]
+        self.backends = {}
+        self.entries = []
+        for number in range(entries):
+            self.start_entry(number)
+
+    def start_entry(self, number):
+        for earlier in self.entries[number:number + 1]:
+            earlier.end()
+        entry = PlatformEntry(f"entry-{number}", self.directory, self.store, f"127.0.1.{number + 1}", self.ports,
+                              seeds=["127.0.1.1"])
+        self.entries[number:number + 1] = [entry]
+        return entry
+
+    def add_backend(self, name, service="lots", **values):
+        backend = PlatformBackend(self.store, name, self.directory, service, **values)
+        self.backends[name] = backend
+        wait_until(lambda: ask(backend.address, "GET", "/health").status == 200, what=f"{name} answers")
+        backend.report()
+        return backend
+
+    def wait_until_serving(self, path="/lots/x"):
+        for entry in self.entries:
+            wait_until(lambda: entry.send(path).status == 200, what=f"{entry.name} serves")
+
+    def end(self):
+        for process in [*self.entries, *self.backends.values(), self.store]:
+            process.end()
--- a/tests/system/settings_test.py
+++ b/tests/system/settings_test.py
@@ -41,7 +41,7 @@
                          f"--traffic_address={entry.traffic}", f"--api_address=127.0.0.1:{free_port()}",
                          f"--peer_address=127.0.0.1:{free_port()}")
             self.assertEqual(result.returncode, 3)
-            self.assertIn("event=port_in_use", result.stderr)
+            self.assertIn("event=port_in_use", result.stdout)
 
     def test_without_a_log_service_the_entry_says_so_and_refuses_truthfully(self):
         with Fleet() as fleet:
