--- a/daemon/entrysettings.cpp
+++ b/daemon/entrysettings.cpp
@@ -18,7 +18,10 @@
 ABSL_FLAG(std::int64_t, snapshot_every, 512, "Log records after which a snapshot is written; 1 to 1000000.");
 ABSL_FLAG(std::int64_t, trace_percent, 1, "Requests of a hundred that are traced; failures always are. 0 to 100.");
 ABSL_FLAG(std::string, trace_file, "", "File for spans as Zipkin v2 JSON lines. Empty: memory only.");
-ABSL_FLAG(std::string, settings, "", "Settings file that a platform writes (TOML). Its values replace all other flags.");
+ABSL_FLAG(std::string,
+          settings,
+          "",
+          "Settings file that a platform writes (TOML). Its values replace all other flags.");
 ABSL_FLAG(std::string, log_level, "INFO", "Least level that is logged: INFO, WARN or OFF.");
 
 namespace cardamomdeck {
--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -89,8 +89,8 @@
         answer_rules rules;
         rules.accepts = platform::mayAnswerProbe;
         http_request request = platform::makeProbe(service->profile.healthPath, toString(backend->server.address));
-        const exchange_result exchange =
-            co_await connection->exchange(std::move(request), probeLimits, deadline, std::move(rules));
+        const exchange_result exchange
+            = co_await connection->exchange(std::move(request), probeLimits, deadline, std::move(rules));
         if (exchange.code != result_code::ok) {
             if (reused && exchange.code != result_code::deadline_passed) {
                 // The server had closed the idle connection.
@@ -119,9 +119,8 @@
     }
 }
 
-asio::awaitable<void> backend_prober::probeOne(service_traffic_ptr service,
-                                               backend_traffic_ptr backend,
-                                               std::shared_ptr<round> results)
+asio::awaitable<void>
+backend_prober::probeOne(service_traffic_ptr service, backend_traffic_ptr backend, std::shared_ptr<round> results)
 {
     probe_result result = co_await exchangeProbe(service, backend);
     if (!result.answered) {
--- a/daemon/gateway/backendprober.h
+++ b/daemon/gateway/backendprober.h
@@ -53,9 +53,8 @@
 
 private:
     struct round;
-    boost::asio::awaitable<void> probeOne(service_traffic_ptr service,
-                                          backend_traffic_ptr backend,
-                                          std::shared_ptr<round> results);
+    boost::asio::awaitable<void>
+    probeOne(service_traffic_ptr service, backend_traffic_ptr backend, std::shared_ptr<round> results);
     boost::asio::awaitable<probe_result> exchangeProbe(service_traffic_ptr service, backend_traffic_ptr backend);
 
     boost::asio::io_context &m_context;
--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -89,9 +89,7 @@
 
 }
 
-fleet_control::fleet_control(asio::io_context &context,
-                             const platform::platform_settings &settings,
-                             publisher publish)
+fleet_control::fleet_control(asio::io_context &context, const platform::platform_settings &settings, publisher publish)
     : m_context(context)
     , m_settings(settings)
     , m_publish(std::move(publish))
@@ -123,8 +121,8 @@
 {
     for (;;) {
         const std::string record = platform::encodeMember(m_state.members().self());
-        const result_code written = co_await m_store.write(
-            store_topic::members, m_settings.vmName, record, steady::now() + storeTimeout);
+        const result_code written
+            = co_await m_store.write(store_topic::members, m_settings.vmName, record, steady::now() + storeTimeout);
         if (written == result_code::ok) {
             co_return;
         }
@@ -141,8 +139,8 @@
         co_return;
     }
     for (const platform::keyed_record &item : read.records) {
-        const auto member =
-            decodeOrLog(item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
+        const auto member
+            = decodeOrLog(item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
         if (member) {
             m_state.members().learned(*member, steady::now());
         }
@@ -169,8 +167,8 @@
 asio::awaitable<void> fleet_control::learnFirstView()
 {
     const time_point begun = steady::now();
-    const auto spread = static_cast<milliseconds::rep>(
-        randomUnit(m_random) * static_cast<double>(longestFirstWait.count()));
+    const auto spread
+        = static_cast<milliseconds::rep>(randomUnit(m_random) * static_cast<double>(longestFirstWait.count()));
     const time_point readAt = begun + shortestFirstWait + milliseconds(spread);
     while (!m_state.isComplete() && steady::now() < readAt) {
         sendHeartbeat();
@@ -270,8 +268,8 @@
     for (platform::keyed_record &item : read.records) {
         backend_record record{item.key, item.offset, std::nullopt};
         if (item.value) {
-            record.server =
-                decodeOrLog(item.key, item.offset, [&] { return platform::decodeBackend(item.key, *item.value, now); });
+            record.server = decodeOrLog(
+                item.key, item.offset, [&] { return platform::decodeBackend(item.key, *item.value, now); });
             if (!record.server) {
                 continue;
             }
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -30,9 +30,7 @@
     using publisher = std::function<void(const fleet_view_ptr &)>;
 
     /** Control of the entry with @p settings; hands each new view to @p publish. */
-    fleet_control(boost::asio::io_context &context,
-                  const platform::platform_settings &settings,
-                  publisher publish);
+    fleet_control(boost::asio::io_context &context, const platform::platform_settings &settings, publisher publish);
 
     /** Starts to listen and to read. Errors: port_in_use. */
     result_code start();
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -101,10 +101,7 @@
         const auto rule = std::ranges::find(rules, item.first, &traffic_rule::name);
         return rule == rules.end() || rule->services != item.second.services();
     });
-    log_line("config_installed")
-        .add("config", view->config->version)
-        .add("rules", view->config->rules.size())
-        .info();
+    log_line("config_installed").add("config", view->config->version).add("rules", view->config->rules.size()).info();
 }
 
 void gateway_path::startLeaving()
@@ -197,7 +194,8 @@
 {
     std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
     for (const traffic_rule &rule : m_view->config->rules) {
-        const bool serves = std::ranges::find(rule.services, service, &weighted_service::service) != rule.services.end();
+        const bool serves
+            = std::ranges::find(rule.services, service, &weighted_service::service) != rule.services.end();
         if (serves) {
             priority = std::min(priority, rule.priority);
         }
@@ -227,10 +225,8 @@
     co_return response;
 }
 
-asio::awaitable<http_response> gateway_path::forward(http_request &request,
-                                                     http_session &session,
-                                                     const traffic_rule &rule,
-                                                     time_point arrival)
+asio::awaitable<http_response>
+gateway_path::forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival)
 {
     const platform::caller_request caller = platform::decodeCaller(request);
     const std::string service = serviceFor(rule);
@@ -260,7 +256,8 @@
         .add("config", version)
         .add("service", service)
         .add("outcome", infoOf(outcome.code).name)
-        .add("status", outcome.code == result_code::ok ? outcome.response.result_int() : infoOf(outcome.code).httpStatus)
+        .add("status",
+             outcome.code == result_code::ok ? outcome.response.result_int() : infoOf(outcome.code).httpStatus)
         .add("attempts", run->attempts())
         .add("backend", run->lastBackend())
         .add("running", load ? load->running : 0)
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -104,7 +104,8 @@
     }
     const double objectiveMs = toMilliseconds(m_request.rule.latencyObjective);
     const double lateMs = std::max(lateFactor * m_expectedMs, latePart * objectiveMs);
-    return m_live.front().startedAt + std::chrono::round<nanoseconds>(std::chrono::duration<double, std::milli>(lateMs));
+    return m_live.front().startedAt
+           + std::chrono::round<nanoseconds>(std::chrono::duration<double, std::milli>(lateMs));
 }
 
 choice_request request_forwarding::choiceRequest(time_point now) const
@@ -133,8 +134,8 @@
         }
     }
     std::ranges::shuffle(usable, m_context.random);
-    std::ranges::stable_partition(usable,
-                                  [now](const backend_traffic_ptr &backend) { return !backend->health.isSuspect(now); });
+    std::ranges::stable_partition(
+        usable, [now](const backend_traffic_ptr &backend) { return !backend->health.isSuspect(now); });
     return usable;
 }
 
@@ -142,14 +143,13 @@
 {
     service_traffic &service = *m_request.service;
     const std::size_t wanted = std::min(group.size(), probesPerZoneGroup);
-    group.resize(
-        service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
+    group.resize(service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
     if (group.empty()) {
         co_return;
     }
     const time_point deadline = std::min(m_request.deadline, steady::now() + longestProbing);
-    std::vector<probe_result> results =
-        co_await m_context.prober.probe(m_request.service, std::move(group), patience, deadline);
+    std::vector<probe_result> results
+        = co_await m_context.prober.probe(m_request.service, std::move(group), patience, deadline);
     for (probe_result &result : results) {
         if (result.connection || result.load) {
             m_probed.push_back(std::move(result));
@@ -234,8 +234,8 @@
     }
     const std::optional<backend_choice> choice = chosen ? std::optional(chosen->choice) : std::nullopt;
     const choice_request wanted = choiceRequest(steady::now());
-    const admission_decision decision =
-        admit(choice, wanted, m_request.rule.priority, m_request.mostUrgentPriority, m_context.random);
+    const admission_decision decision
+        = admit(choice, wanted, m_request.rule.priority, m_request.mostUrgentPriority, m_context.random);
     if (!decision.admitted || wanted.deadlineMs < shortestAttemptMs) {
         if (chosen && chosen->connection) {
             m_context.pool.giveBack(chosen->backend->server.id, chosen->connection);
@@ -265,8 +265,7 @@
 asio::awaitable<connection_ptr> request_forwarding::openConnection(backend_traffic_ptr backend)
 {
     const time_point now = steady::now();
-    const milliseconds proof =
-        m_request.rule.repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
+    const milliseconds proof = m_request.rule.repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
     connection_ptr connection = m_context.pool.takeIdle(backend->server.id, now - proof);
     if (!connection) {
         connection = co_await m_context.prober.connect(backend, std::min(m_request.deadline, now + connectTimeout));
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -34,8 +34,7 @@
         std::map<std::string, backend_traffic_ptr> next;
         for (const auto &[id, server] : servers) {
             const auto present = service->backends.find(id);
-            const bool keeps =
-                present != service->backends.end() && isSameIncarnation(present->second->server, server);
+            const bool keeps = present != service->backends.end() && isSameIncarnation(present->second->server, server);
             next[id] = keeps ? present->second : std::make_shared<backend_traffic>(server);
             next[id]->server = server;
         }
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -158,9 +158,8 @@
 
 void printFault(const std::string &fault)
 {
-    const log_line line = log_line("setting_invalid")
-                              .add("code", static_cast<int>(result_code::setting_invalid))
-                              .add("detail", fault);
+    const log_line line
+        = log_line("setting_invalid").add("code", static_cast<int>(result_code::setting_invalid)).add("detail", fault);
     std::fprintf(stderr, "%s\n", line.text().c_str());
 }
 
--- a/daemon/resourceapi.cpp
+++ b/daemon/resourceapi.cpp
@@ -149,7 +149,9 @@
     constexpr std::size_t mostApiConnections = 1024;
     server_options options;
     options.maxConnections = mostApiConnections;
-    options.rejection = [](result_code code) { return errorResponse(code, ""); };
+    options.rejection = [](result_code code) {
+        return errorResponse(code, "");
+    };
     return options;
 }
 
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -37,8 +37,7 @@
         return {false, returnPause(longestPauseMs, request, random)};
     }
     const bool hopeless = choice->expectedMs > request.deadlineMs;
-    const bool yields =
-        priority > mostUrgentPriority && !choice->slotFree && choice->expectedMs > request.objectiveMs;
+    const bool yields = priority > mostUrgentPriority && !choice->slotFree && choice->expectedMs > request.objectiveMs;
     if (hopeless || yields) {
         return {false, returnPause(choice->expectedMs, request, random)};
     }
--- a/libs/dispatch/src/backendchoice.cpp
+++ b/libs/dispatch/src/backendchoice.cpp
@@ -27,8 +27,8 @@
 {
     double total = 0;
     if (candidate.report) {
-        const completion_estimate estimate =
-            estimateCompletion(*candidate.report, candidate.sentSince, request.work, request.averagePace);
+        const completion_estimate estimate
+            = estimateCompletion(*candidate.report, candidate.sentSince, request.work, request.averagePace);
         *slotFree = estimate.waitMs <= 0;
         total = estimate.totalMs();
     } else {
--- a/libs/dispatch/tests/backendchoicetest.cpp
+++ b/libs/dispatch/tests/backendchoicetest.cpp
@@ -111,7 +111,8 @@
     random_source random(1);
     std::vector<std::int64_t> pauses;
     for (int i = 0; i < 20; ++i) {
-        pauses.push_back(admit(backend_choice{0, 560.0, false}, {{60, 60}, 500, 550, 1}, 1, 1, random).retryAfter.count());
+        pauses.push_back(
+            admit(backend_choice{0, 560.0, false}, {{60, 60}, 500, 550, 1}, 1, 1, random).retryAfter.count());
     }
     cr_assert_gt(*std::ranges::max_element(pauses) - *std::ranges::min_element(pauses), 10);
 }
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -140,8 +140,8 @@
         }
         const bool wanted = !ownZoneOnly || position->second.member.zone == m_self.zone;
         // A sighting that is older is of little use to others.
-        const bool recent = position->second.everHeard
-                            && now - position->second.heardAt <= silenceLimitOf(position->second) / 2;
+        const bool recent
+            = position->second.everHeard && now - position->second.heardAt <= silenceLimitOf(position->second) / 2;
         if (wanted && recent) {
             const auto age = std::chrono::ceil<milliseconds>(now - position->second.heardAt);
             result.push_back({position->second.member, age});
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -29,8 +29,7 @@
 
 json toJson(const view_position &position)
 {
-    return json::array(
-        {position.configVersion, position.configEnd, position.backendsChangedAt, position.backendsEnd});
+    return json::array({position.configVersion, position.configEnd, position.backendsChangedAt, position.backendsEnd});
 }
 
 view_position positionFromJson(const json &fields)
@@ -135,7 +134,8 @@
         changes.push_back(recordsToJson(notice.changes->records, now));
     }
     const json age = notice.age ? json(notice.age->count()) : json();
-    return pack(json::array({toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes}));
+    return pack(
+        json::array({toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes}));
 }
 
 std::string encode(const view_question &question)
--- a/standins/keyedtopics.cpp
+++ b/standins/keyedtopics.cpp
@@ -84,8 +84,7 @@
 {
     json items = json::array();
     for (const auto &[key, record] : target.newest) {
-        items.push_back(
-            {{"key", key}, {"value", absl::Base64Escape(record.second)}, {"offset", record.first}});
+        items.push_back({{"key", key}, {"value", absl::Base64Escape(record.second)}, {"offset", record.first}});
     }
     return makeResponse(200, json({{"items", items}, {"more", false}, {"end", target.end()}}).dump());
 }
--- a/standins/logstandin.cpp
+++ b/standins/logstandin.cpp
@@ -187,7 +187,9 @@
         for (const auto &[name, stream] : m_state.streams) {
             ends[name] = {{"first", stream.first}, {"next", stream.next()}};
         }
-        return makeResponse(200, json({{"appends", m_state.appends}, {"keyed_calls", m_state.keyed.calls()}, {"streams", ends}}).dump());
+        return makeResponse(
+            200,
+            json({{"appends", m_state.appends}, {"keyed_calls", m_state.keyed.calls()}, {"streams", ends}}).dump());
     }
 
     void retain(std::size_t count)
