--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -58,6 +58,8 @@
       "  cardamomctl watch                   wait for changes after --from\n"
       "  cardamomctl status                  state of the entry, its peers and back ends\n"
       "  cardamomctl explain TRACE           show the hops of a request\n"
+      "  cardamomctl fleet                   on a platform: configuration, members, back ends as the entry sees them\n"
+      "  cardamomctl request ID              on a platform: how the entry handled a recent request\n"
       "  cardamomctl evict ENTRY             remove an entry that is gone for good\n\n"
       "Each flag can be set by CARDAMOMCTL_<FLAG>.\n"
       "Exit codes: 0 done, 1 usage, 2 wrong setting, 4 refused, 5 no answer.";
@@ -293,6 +295,43 @@
     return 0;
 }
 
+int fleet(const std::vector<std::string> & /*arguments*/)
+{
+    const api_answer answer = call(http::verb::get, "/v1/fleet");
+    if (!isSuccess(answer)) {
+        return reportFailure("fleet", answer);
+    }
+    print(answer.body, [](const json &body) {
+        std::cout << "entry " << body["entry"] << " config " << body["config_version"] << " view "
+                  << body["view_age_ms"] << " ms old, store "
+                  << (body["store_available"].get<bool>() ? "reachable" : "unreachable") << "\n";
+        for (const json &member : body["members"]) {
+            std::cout << "  member " << member["name"] << " " << (member["ready"].get<bool>() ? "ready" : "not ready")
+                      << "\n";
+        }
+        for (const json &backend : body["backends"]) {
+            std::cout << "  backend " << backend["name"] << " of " << backend["service"] << " "
+                      << backend["state"].get<std::string>() << " failures " << backend["failure_share"] << " sent "
+                      << backend["sent"] << "\n";
+        }
+    });
+    return 0;
+}
+
+int request(const std::vector<std::string> &arguments)
+{
+    const api_answer answer = call(http::verb::get, "/v1/requests/" + arguments[0]);
+    if (!isSuccess(answer)) {
+        return reportFailure("request", answer);
+    }
+    print(answer.body, [](const json &body) {
+        for (const json &line : body) {
+            std::cout << line.get<std::string>() << "\n";
+        }
+    });
+    return 0;
+}
+
 int explain(const std::vector<std::string> &arguments)
 {
     const api_answer answer = call(http::verb::get, "/v1/traces/" + arguments[0]);
@@ -329,7 +368,7 @@
     int (*run)(const std::vector<std::string> &arguments);
 };
 
-constexpr std::array<subcommand, 10> subcommands = {{{"apply", 1, &apply},
+constexpr std::array<subcommand, 12> subcommands = {{{"apply", 1, &apply},
                                                      {"get", 2, &get},
                                                      {"list", 1, &list},
                                                      {"delete", 2, &remove},
@@ -338,6 +377,8 @@
                                                      {"watch", 0, &watch},
                                                      {"status", 0, &status},
                                                      {"explain", 1, &explain},
+                                                     {"fleet", 0, &fleet},
+                                                     {"request", 1, &request},
                                                      {"evict", 1, &evict}}};
 
 int runTool(int argc, char **argv)
--- a/daemon/entrysettings.cpp
+++ b/daemon/entrysettings.cpp
@@ -22,6 +22,8 @@
           settings,
           "",
           "Settings file that a platform writes (TOML). Its values replace all other flags.");
+ABSL_FLAG(std::int64_t, metrics_port, 0, "With --settings: further port for operators, 0 to 65535. 0: none.");
+ABSL_FLAG(bool, check, false, "Check the settings, print faults, and exit.");
 ABSL_FLAG(std::string, log_level, "INFO", "Least level that is logged: INFO, WARN or OFF.");
 
 namespace cardamomdeck {
@@ -111,6 +113,8 @@
                                      "trace_percent",
                                      "trace_file",
                                      "settings",
+                                     "metrics_port",
+                                     "check",
                                      "log_level"});
     if (absl::ParseCommandLine(argc, argv).size() > 1) {
         check.faults.emplace_back("arguments without a flag are not understood");
@@ -118,6 +122,10 @@
     settings_reader reader(check.faults);
     entry_settings &settings = check.settings;
     settings.platformFile = absl::GetFlag(FLAGS_settings);
+    settings.checkOnly = absl::GetFlag(FLAGS_check);
+    constexpr std::int64_t lastPort = 65'535;
+    settings.metricsPort
+        = static_cast<std::uint16_t>(reader.number("metrics_port", absl::GetFlag(FLAGS_metrics_port), 0, lastPort));
     settings.logLevel = reader.level(absl::GetFlag(FLAGS_log_level));
     if (!settings.platformFile.empty()) {
         return check;
--- a/daemon/entrysettings.h
+++ b/daemon/entrysettings.h
@@ -35,6 +35,10 @@
     /** Where spans are written; empty keeps them in memory only. */
     std::string traceFile;
     std::string logLevel;
+    /** Only the settings are checked; nothing is started. */
+    bool checkOnly = false;
+    /** Further port for operators on a platform; 0 for none. */
+    std::uint16_t metricsPort = 0;
     /** Settings file of a platform; when it is set, the other values are not used. */
     std::string platformFile;
 
--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -85,7 +85,7 @@
         if (!connection) {
             co_return result;
         }
-        ++service->probes;
+        ++service->metrics.probes;
         answer_rules rules;
         rules.accepts = platform::mayAnswerProbe;
         http_request request = platform::makeProbe(service->profile.healthPath, toString(backend->server.address));
--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -415,6 +415,11 @@
     return m_state;
 }
 
+bool fleet_control::storeAvailable() const
+{
+    return m_storeAvailable;
+}
+
 std::uint64_t fleet_control::storeCalls() const
 {
     return m_store.calls();
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -41,6 +41,9 @@
     /** What is known; for status answers. */
     const fleet_state &state() const;
 
+    /** False after a failed call, until one succeeds. */
+    bool storeAvailable() const;
+
     /** Calls made to the store. */
     std::uint64_t storeCalls() const;
 
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -8,12 +8,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <csignal>
 
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
+namespace leaf = boost::leaf;
 
 namespace {
 
@@ -30,6 +32,9 @@
 /** Period in which the shutdown looks whether everything is finished. */
 constexpr milliseconds finishPoll{50};
 
+/** Period in which the settings file is looked at; it may change without a signal. */
+constexpr milliseconds settingsPeriod{5000};
+
 milliseconds partOf(milliseconds whole, double part)
 {
     return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(whole.count()) * part));
@@ -37,18 +42,36 @@
 
 }
 
-gateway_daemon::gateway_daemon(const platform::platform_settings &settings)
-    : m_settings(settings)
-    , m_path(m_context, settings)
-    , m_control(m_context, settings, [this](const fleet_view_ptr &view) { m_path.install(view); })
+gateway_daemon::gateway_daemon(platform::platform_settings settings, std::string file, std::uint16_t metricsPort)
+    : m_settings(std::move(settings))
+    , m_file(std::move(file))
+    , m_metricsPort(metricsPort)
+    , m_path(m_context, m_settings)
+    , m_control(m_context, m_settings, [this](const fleet_view_ptr &view) { m_path.install(view); })
+    , m_operators(m_context, m_path, m_control)
+{
+}
+
+result_code gateway_daemon::listenForOperators()
 {
+    if (m_settings.api.port != 0) {
+        const result_code code = m_operators.listen(m_settings.api);
+        if (code != result_code::ok) {
+            return code;
+        }
+    }
+    return m_metricsPort == 0 ? result_code::ok : m_operators.listen({m_settings.host, m_metricsPort});
 }
 
 int gateway_daemon::run()
 {
-    if (m_path.start() != result_code::ok || m_control.start() != result_code::ok) {
+    if (m_path.start() != result_code::ok || m_control.start() != result_code::ok
+        || listenForOperators() != result_code::ok) {
+        log_line("entry_not_started").add("code", infoOf(result_code::port_in_use).name).warn();
         return exitPortInUse;
     }
+    asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<void> { co_await watchSettings(); }, asio::detached);
     asio::co_spawn(
         m_context, [this]() -> asio::awaitable<void> { co_await awaitSignal(); }, asio::detached);
     log_line("entry_started")
@@ -72,12 +95,49 @@
         if (number != SIGHUP) {
             break;
         }
-        log_line("settings_reread").add("entry", m_settings.vmName).info();
+        reloadSettings("SIGHUP");
     }
     co_await leave();
     m_context.stop();
 }
 
+asio::awaitable<void> gateway_daemon::watchSettings()
+{
+    for (;;) {
+        co_await sleepUntil(steady::now() + settingsPeriod);
+        reloadSettings("period");
+    }
+}
+
+void gateway_daemon::reloadSettings(const char *reason)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(settings, platform::readPlatformSettings(m_file));
+            if (settings == m_settings) {
+                return {};
+            }
+            // Addresses are bound at the start; the rest holds from now on.
+            const bool moved = settings.traffic != m_settings.traffic || settings.store != m_settings.store;
+            m_settings.seedHosts = settings.seedHosts;
+            m_settings.bounds = settings.bounds;
+            log_line("settings_reloaded")
+                .add("reason", reason)
+                .add("seeds", settings.seedHosts.size())
+                .add("restart_needed", moved ? "true" : "false")
+                .info();
+            return {};
+        },
+        [&](const failure &error) {
+            log_line("settings_rejected")
+                .add("code", infoOf(error.code).name)
+                .add("reason", reason)
+                .add("detail", error.detail)
+                .warn();
+        },
+        [] {});
+}
+
 asio::awaitable<void> gateway_daemon::leave()
 {
     const time_point start = steady::now();
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -130,6 +130,16 @@
     return m_traffic.connectionCount();
 }
 
+const std::map<std::string, service_traffic_ptr> &gateway_path::services() const
+{
+    return m_directory.services();
+}
+
+const request_history &gateway_path::history() const
+{
+    return m_history;
+}
+
 asio::awaitable<http_response> gateway_path::answerQuestion(http_request &request)
 {
     if (platform::isReadinessQuestion(request)) {
@@ -225,6 +235,38 @@
     co_return response;
 }
 
+void gateway_path::record(const request_forwarding &run,
+                          const forwarding_outcome &outcome,
+                          std::uint64_t configVersion,
+                          const std::string &service,
+                          double tookMs)
+{
+    const std::optional<load_report> load = run.lastLoad();
+    const bool answered = outcome.code == result_code::ok;
+    log_line line("request");
+    line.add("id", run.request().id)
+        .add("rule", run.request().rule.name)
+        .add("config", configVersion)
+        .add("service", service)
+        .add("outcome", infoOf(outcome.code).name)
+        .add("status", answered ? outcome.response.result_int() : infoOf(outcome.code).httpStatus)
+        .add("attempts", run.attempts())
+        .add("failed_attempts", run.failures())
+        .add("backend", run.lastBackend())
+        .add("probed", run.probed())
+        .add("expected_ms", run.expectedMs())
+        .add("took_ms", tookMs);
+    if (load) {
+        line.add("running", load->running).add("waiting", load->waiting).add("pace", load->pace);
+    }
+    if (!answered) {
+        line.add("retry_after_ms", outcome.retryAfter.count());
+    }
+    line.info();
+    run.request().service->metrics.requestEnded(outcome.code, tookMs);
+    m_history.add({run.request().id, line.text()});
+}
+
 asio::awaitable<http_response>
 gateway_path::forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival)
 {
@@ -249,23 +291,7 @@
     forwarded.deadline = arrival + std::min(rule.timeout, caller.patience.value_or(rule.timeout));
     const auto run = std::make_shared<request_forwarding>(m_forwarding, std::move(forwarded));
     forwarding_outcome outcome = co_await run->run(session);
-    const std::optional<load_report> load = run->lastLoad();
-    log_line("request")
-        .add("id", caller.requestId)
-        .add("rule", run->rule().name)
-        .add("config", version)
-        .add("service", service)
-        .add("outcome", infoOf(outcome.code).name)
-        .add("status",
-             outcome.code == result_code::ok ? outcome.response.result_int() : infoOf(outcome.code).httpStatus)
-        .add("attempts", run->attempts())
-        .add("backend", run->lastBackend())
-        .add("running", load ? load->running : 0)
-        .add("waiting", load ? load->waiting : 0)
-        .add("pace", load ? load->pace : 0.0)
-        .add("expected_ms", run->expectedMs())
-        .add("took_ms", toMilliseconds(steady::now() - arrival))
-        .info();
+    record(*run, outcome, version, service, toMilliseconds(steady::now() - arrival));
     if (outcome.code != result_code::ok) {
         co_return refuse(outcome.code, outcome.retryAfter);
     }
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -7,6 +7,7 @@
 #include "backendprober.h"
 #include "connectionpool.h"
 #include "requestforwarding.h"
+#include "requesthistory.h"
 #include "servicetraffic.h"
 
 #include "cardamomdeck/base/randomsource.h"
@@ -51,11 +52,22 @@
     /** Open connections of callers. */
     std::size_t callerConnections() const;
 
+    /** Services and their backend servers. */
+    const std::map<std::string, service_traffic_ptr> &services() const;
+
+    /** The last requests. */
+    const request_history &history() const;
+
 private:
     boost::asio::awaitable<http_response> handle(http_request &request, http_session &session);
     boost::asio::awaitable<http_response> answerQuestion(http_request &request);
     boost::asio::awaitable<http_response>
     forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival);
+    void record(const request_forwarding &run,
+                const forwarding_outcome &outcome,
+                std::uint64_t configVersion,
+                const std::string &service,
+                double tookMs);
     http_response answerAddresses(const std::string &zone) const;
     http_response refuse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnread(result_code code) const;
@@ -72,6 +84,7 @@
     http_server m_readiness;
     http_server m_resolver;
     fleet_view_ptr m_view;
+    request_history m_history;
     /** Splits of the rules, by name; a changed split starts anew. */
     std::map<std::string, traffic_split> m_splits;
     std::size_t m_requestsInHand = 0;
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -215,6 +215,7 @@
         }
         choice = chooseProbed();
     }
+    m_probedCount = m_probed.size();
     std::optional<chosen_backend> chosen;
     if (choice) {
         chosen = takeProbed(*choice);
@@ -248,7 +249,7 @@
         co_return;
     }
     ++m_attempts;
-    ++m_request.service->attempts;
+    ++m_request.service->metrics.attempts;
     m_tried.insert(chosen->backend->server.id);
     m_lastBackend = chosen->backend->server.id;
     m_expectedMs = chosen->choice.expectedMs;
@@ -325,10 +326,10 @@
     }
     if (!result.bytesSent) {
         --m_attempts;
-        fail(result_code::connect_failed, false, ++m_connectFailures <= mostConnectFailures);
+        fail(*backend, result_code::connect_failed, false, ++m_connectFailures <= mostConnectFailures);
         return;
     }
-    fail(result.code, true, m_request.rule.repeat == repeat_policy::idempotent && mayRepeat());
+    fail(*backend, result.code, true, m_request.rule.repeat == repeat_policy::idempotent && mayRepeat());
 }
 
 void request_forwarding::noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt)
@@ -340,14 +341,14 @@
         break;
     case platform::answer_kind::wrong_server:
         backend->avoidedUntil = now + wrongServerPause;
-        fail(result_code::backend_refused, false, mayRepeat());
+        fail(*backend, result_code::backend_refused, false, mayRepeat());
         return;
     case platform::answer_kind::not_run:
-        fail(result_code::backend_refused, false, mayRepeat());
+        fail(*backend, result_code::backend_refused, false, mayRepeat());
         return;
     case platform::answer_kind::corrupt:
         backend->health.noteFailure(now);
-        fail(result_code::answer_malformed, true, idempotent && mayRepeat());
+        fail(*backend, result_code::answer_malformed, true, idempotent && mayRepeat());
         return;
     }
     constexpr unsigned firstServerError = 500;
@@ -356,7 +357,7 @@
         backend->health.noteFailure(now);
         if (idempotent && mayRepeat()) {
             m_lastAnswer = std::move(result.response);
-            fail(result_code::answer_malformed, true, true);
+            fail(*backend, result_code::answer_malformed, true, true);
             return;
         }
     } else {
@@ -387,12 +388,13 @@
     if (!m_request.service->repeats.take(now, m_request.liveMembers)) {
         return false;
     }
-    ++m_request.service->repeatsSent;
+    ++m_request.service->metrics.retries;
     return true;
 }
 
-void request_forwarding::fail(result_code code, bool mayHaveRun, bool repeat)
+void request_forwarding::fail(const backend_traffic &backend, result_code code, bool mayHaveRun, bool repeat)
 {
+    m_failures += (m_failures.empty() ? "" : ",") + backend.server.id + ":" + std::string(infoOf(code).name);
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (mayHaveRun || !m_mayHaveRun) {
         m_failure = code;
@@ -435,9 +437,19 @@
     m_wake.cancel();
 }
 
-const traffic_rule &request_forwarding::rule() const
+const forwarded_request &request_forwarding::request() const
 {
-    return m_request.rule;
+    return m_request;
+}
+
+const std::string &request_forwarding::failures() const
+{
+    return m_failures;
+}
+
+std::size_t request_forwarding::probed() const
+{
+    return m_probedCount;
 }
 
 std::uint32_t request_forwarding::attempts() const
--- a/daemon/gateway/requestforwarding.h
+++ b/daemon/gateway/requestforwarding.h
@@ -76,13 +76,17 @@
     /** Runs the request; @p session tells when the caller leaves. */
     boost::asio::awaitable<forwarding_outcome> run(http_session &session);
 
-    /** The rule that the request follows. */
-    const traffic_rule &rule() const;
+    /** The request. */
+    const forwarded_request &request() const;
 
     /** Attempts sent. */
     std::uint32_t attempts() const;
 
-    /** Fields for the log: the last chosen server and what decided for it. */
+    /** Fields for the log: what ended attempts without an answer, as "SERVER:CODE" separated by commas. */
+    const std::string &failures() const;
+    /** Answers of probes that the last choice was made from. */
+    std::size_t probed() const;
+    /** The last chosen server and what decided for it. */
     const std::string &lastBackend() const;
     double expectedMs() const;
     std::optional<load_report> lastLoad() const;
@@ -115,7 +119,7 @@
     void settle(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
     void noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
     void learnWork(double tookMs);
-    void fail(result_code code, bool mayHaveRun, bool repeat);
+    void fail(const backend_traffic &backend, result_code code, bool mayHaveRun, bool repeat);
     bool mayRepeat();
     time_point hedgeAt() const;
     void giveUp();
@@ -129,6 +133,8 @@
     std::vector<attempt> m_live;
     forwarding_outcome m_outcome;
     result_code m_failure = result_code::no_backend;
+    std::string m_failures;
+    std::size_t m_probedCount = 0;
     std::string m_lastBackend;
     std::optional<load_report> m_lastLoad;
     double m_expectedMs = 0;
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "trafficmetrics.h"
+
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/dispatch/backendhealth.h"
 #include "cardamomdeck/dispatch/loadreport.h"
@@ -66,9 +68,7 @@
     /** Probes that were answered without a load report; probing stops when they do not tell anything. */
     std::uint32_t probesWithoutLoad = 0;
 
-    std::uint64_t probes = 0;
-    std::uint64_t attempts = 0;
-    std::uint64_t repeatsSent = 0;
+    service_metrics metrics;
 };
 
 using service_traffic_ptr = std::shared_ptr<service_traffic>;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -168,7 +168,10 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             BOOST_LEAF_AUTO(platformSettings, platform::readPlatformSettings(settings.platformFile));
-            gateway_daemon daemon(platformSettings);
+            if (settings.checkOnly) {
+                return 0;
+            }
+            gateway_daemon daemon(platformSettings, settings.platformFile, settings.metricsPort);
             return daemon.run();
         },
         [](const failure &error) {
@@ -187,6 +190,9 @@
         }
         return exitWrongSetting;
     }
+    if (check.settings.checkOnly && check.settings.platformFile.empty()) {
+        return 0;
+    }
     startLogging(check.settings.logLevel);
     int exitCode = 0;
     if (!check.settings.platformFile.empty()) {
--- a/libs/base/include/cardamomdeck/base/logline.h
+++ b/libs/base/include/cardamomdeck/base/logline.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,9 @@
 /** Sends log lines to standard output; @p level is a log4cplus level name. */
 void startLogging(const std::string &level);
 
+/** Lines that were dropped since the start, because there were too many or the output was blocked. */
+std::uint64_t droppedLogLines();
+
 /** Flushes and closes the log. */
 void stopLogging();
 
--- a/libs/base/src/logline.cpp
+++ b/libs/base/src/logline.cpp
@@ -1,8 +1,8 @@
 #include "cardamomdeck/base/logline.h"
 
 #include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/logqueue.h"
 
-#include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -16,15 +16,35 @@
 
 namespace {
 
-/** Lines that may wait for the writing thread. */
-constexpr unsigned asyncQueueLines = 8192;
-
 std::unique_ptr<log4cplus::Initializer> &initializer()
 {
     static std::unique_ptr<log4cplus::Initializer> instance;
     return instance;
 }
 
+std::unique_ptr<log_queue> &queue()
+{
+    static std::unique_ptr<log_queue> instance;
+    return instance;
+}
+
+void writeLine(log_severity severity, const std::string &text)
+{
+    if (severity == log_severity::info) {
+        LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), "level=info " << text);
+    } else {
+        LOG4CPLUS_WARN(log4cplus::Logger::getRoot(), "level=warn " << text);
+    }
+}
+
+void hand(log_severity severity, const std::string &text)
+{
+    // Without a queue the log has not been started, or has been stopped.
+    if (queue()) {
+        queue()->push(severity, text);
+    }
+}
+
 bool needsQuotes(std::string_view value)
 {
     if (value.empty()) {
@@ -87,12 +107,12 @@
 
 void log_line::info() const
 {
-    LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), "level=info " << m_text);
+    hand(log_severity::info, m_text);
 }
 
 void log_line::warn() const
 {
-    LOG4CPLUS_WARN(log4cplus::Logger::getRoot(), "level=warn " << m_text);
+    hand(log_severity::warn, m_text);
 }
 
 void startLogging(const std::string &level)
@@ -100,15 +120,21 @@
     initializer() = std::make_unique<log4cplus::Initializer>();
     log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(false, true));
     console->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z %m%n"));
-    log4cplus::SharedAppenderPtr queue(new log4cplus::AsyncAppender(console, asyncQueueLines));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    root.addAppender(queue);
+    root.addAppender(console);
     root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+    queue() = std::make_unique<log_queue>(writeLine);
+}
+
+std::uint64_t droppedLogLines()
+{
+    return queue() ? queue()->dropped() : 0;
 }
 
 void stopLogging()
 {
+    queue().reset();
     initializer().reset();
 }
 
--- /dev/null
+++ b/libs/base/tests/logqueuetest.cpp
@@ -0,0 +1,59 @@
+#include "cardamomdeck/base/logqueue.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+using namespace cardamomdeck;
+
+TestSuite(lines_are_written_by_a_thread_of_their_own);
+
+Test(lines_are_written_by_a_thread_of_their_own, in_order_and_all_before_the_end)
+{
+    std::vector<std::string> written;
+    {
+        log_queue queue([&](log_severity, const std::string &text) { written.push_back(text); });
+        for (int i = 0; i < 100; ++i) {
+            cr_assert(queue.push(log_severity::info, std::to_string(i)));
+        }
+    }
+    cr_assert_eq(written.size(), 100);
+    cr_assert_eq(written.back(), "99");
+}
+
+Test(lines_are_written_by_a_thread_of_their_own, a_blocked_output_blocks_nobody_and_the_loss_is_told)
+{
+    std::atomic<bool> blocked = true;
+    std::vector<std::string> written;
+    int dropped = 0;
+    {
+        log_queue queue([&](log_severity, const std::string &text) {
+            blocked.wait(true);
+            written.push_back(text);
+        });
+        for (int i = 0; i < 20'000; ++i) {
+            dropped += queue.push(log_severity::info, "x") ? 0 : 1;
+        }
+        cr_assert_gt(dropped, 0);
+        blocked = false;
+        blocked.notify_all();
+    }
+    cr_assert_eq(written.back(), "event=log_lines_dropped count=" + std::to_string(dropped));
+}
+
+TestSuite(the_volume_is_bounded);
+
+Test(the_volume_is_bounded, over_a_long_time_by_the_rate)
+{
+    log_rate rate;
+    const time_point start{seconds(1000)};
+    double written = 0;
+    constexpr int tenSecondsOfLines = 100'000;
+    for (int i = 0; i < tenSecondsOfLines; ++i) {
+        written += rate.take(start + microseconds(100 * i)) ? 1 : 0;
+    }
+    cr_assert_leq(written, log_rate::burstLines + 10 * log_rate::linesPerSecond + 1);
+    cr_assert_geq(written, 10 * log_rate::linesPerSecond);
+}
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -95,6 +95,9 @@
     /** When this entry should read the store. */
     time_point nextRead(time_point now) const;
 
+    /** The last moment at which the view was known to be complete. */
+    time_point freshAt() const;
+
     /** How much is known. */
     view_position position() const;
 
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -203,6 +203,11 @@
     return m_schedule.nextRead(m_members.rank(now));
 }
 
+time_point fleet_state::freshAt() const
+{
+    return m_schedule.freshAt();
+}
+
 view_position fleet_state::position() const
 {
     return {m_config->version, m_configEnd, m_backends.changedAt(), m_backends.end()};
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -1,13 +1,14 @@
 """Entries on the users' platform keep their promises through changes, leaving servers, faults and shutdowns."""
 
 import signal
+import subprocess
 import tempfile
 import threading
 import time
 import unittest
 
-from fleet import ask, wait_until
-from platformfleet import HOST, PlatformFleet, route
+from fleet import BIN, ask, wait_until
+from platformfleet import PlatformFleet, route
 
 DRAIN_SECONDS = 2.0
 APPLY_SECONDS = 2.0
@@ -54,6 +55,43 @@
             self.assertIn(part, line)
 
 
+class Operating(OnThePlatform):
+    def tool(self, entry, *arguments):
+        return subprocess.run([BIN / "cardamomctl", f"--api={entry.api}", *arguments], capture_output=True, text=True,
+                              timeout=20)
+
+    def test_the_tool_shows_the_fleet_and_explains_a_request(self):
+        entry = self.serve()[0]
+        entry.send("/lots/x", attempt="asked-for")
+        shown = self.tool(entry, "fleet").stdout
+        for part in ("config 5", 'member "entry-1" ready', 'backend "s-1" of "lots" ready'):
+            self.assertIn(part, shown)
+        self.assertIn("outcome=ok", self.tool(entry, "request", "asked-for").stdout)
+        self.assertEqual(self.tool(entry, "request", "unknown").returncode, 4)
+
+    def test_metrics_count_what_was_done(self):
+        entry = self.serve()[0]
+        text = ask(entry.api, "GET", "/metrics").body.decode()
+        for part in ("cardamomdeck_requests_total", "cardamomdeck_probes_total", "cardamomdeck_config_version 5",
+                     "cardamomdeck_request_latency_ms", "cardamomdeck_view_age_ms"):
+            self.assertIn(part, text)
+
+    def test_settings_are_checked_and_reloaded(self):
+        entry = self.serve()[0]
+        daemon = BIN / "cardamomdeckd"
+        check = [daemon, "--check", f"--settings={entry.settings_path}"]
+        self.assertEqual(subprocess.run(check, capture_output=True, timeout=20).returncode, 0)
+        text = entry.settings_path.read_text()
+        entry.settings_path.write_text(text.replace("grace_s=3", "grace_s=2"))
+        entry.signal(signal.SIGHUP)
+        wait_until(lambda: entry.lines("settings_reloaded", reason="SIGHUP"), what="the change is logged")
+        entry.settings_path.write_text("ip = ")
+        entry.signal(signal.SIGHUP)
+        wait_until(lambda: entry.lines("settings_rejected", reason="SIGHUP"), what="the fault is logged")
+        self.assertEqual(subprocess.run(check, capture_output=True, timeout=20).returncode, 2)
+        self.assertEqual(entry.send("/lots/x").status, 200)
+
+
 class Malformed(OnThePlatform):
     def test_bad_input_gets_a_clear_answer_and_harms_nobody(self):
         entry = self.serve()[0]
