Add a fault soak over separate processes

Seeded series of kills, shutdowns, pauses, cut and delayed links, spoiled back ends, store outages and new configurations; callers keep their connections. Checks: at most one run, truthful refusals, own answers only, answers in time, nothing denied, service after the faults.

--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -134,8 +134,9 @@
         }
     }
     std::ranges::shuffle(usable, m_context.random);
-    std::ranges::stable_partition(
-        usable, [now](const backend_traffic_ptr &backend) { return !backend->health.isSuspect(now); });
+    std::stable_partition(usable.begin(), usable.end(), [now](const backend_traffic_ptr &backend) {
+        return !backend->health.isSuspect(now);
+    });
     return usable;
 }
 
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,229 @@
+"""Runs entries, store and back ends as processes, injects faults from outside, and checks what callers were told.
+
+    python3 soak/soak.py [--seed N] [--seeds COUNT] [--seconds S] [--entries N] [--backends N]
+
+Each seed fixes the series of faults. Exit code 1 when a promise was broken; the seed and the logs are kept.
+"""
+
+import argparse
+import asyncio
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(ROOT / "tests" / "system"), str(ROOT / "soak")]
+
+from caller import NOT_RUN, TIMEOUT, Caller  # noqa: E402
+from faultproxy import MODES, FaultProxy  # noqa: E402
+from fleet import wait_until  # noqa: E402
+from platformfleet import PlatformFleet, route  # noqa: E402
+
+REPORT_SECONDS = 0.5
+SETTLE_SECONDS = 6.0
+BACKEND_MODES = ("ok", "refuse", "fail_fast", "answer_late", "unsealed", "cut")
+# A rule's timeout ends a request with an answer; the margin is the promised half second and the loopback's own time.
+ANSWER_SECONDS = TIMEOUT + 0.6
+
+
+class Soak:
+    def __init__(self, seed, seconds, entries, backends, directory):
+        self.random = random.Random(seed)
+        self.seconds, self.directory = seconds, directory
+        self.fleet = PlatformFleet(directory, entries)
+        self.version = 1
+        self.told, self.faults, self.disturbed = [], [], {}
+        self.backends = [self.fleet.add_backend(f"s-{number}", service_ms=8) for number in range(backends)]
+
+    def note(self, fault):
+        self.faults.append(f"{time.monotonic() - self.began:.2f} {fault}")
+
+    async def run(self):
+        self.began = time.monotonic()
+        self.proxies = [FaultProxy(backend.address) for backend in self.backends]
+        for backend, proxy in zip(self.backends, self.proxies):
+            await proxy.start()
+            backend.direct, backend.address = backend.address, proxy.address
+        self.change_config()
+        reporting = asyncio.create_task(self.report_loop())
+        await asyncio.to_thread(self.fleet.wait_until_serving)
+        until = time.monotonic() + self.seconds
+        callers = [Caller(f"c{n}", self.fleet.entries, random.Random(n), self.told) for n in range(8)]
+        await asyncio.gather(self.disturb(until), *(caller.run(until + SETTLE_SECONDS, 0.05) for caller in callers))
+        reporting.cancel()
+        for proxy in self.proxies:
+            proxy.stop()
+        await asyncio.sleep(1.0)
+        return self.check(until + SETTLE_SECONDS - 2.0)
+
+    async def report_loop(self):
+        while True:
+            for backend in self.backends:
+                await self.in_store(backend.report)
+            await asyncio.sleep(REPORT_SECONDS)
+
+    async def in_store(self, call, *arguments):
+        try:
+            await asyncio.to_thread(call, *arguments)
+        except AssertionError:
+            pass  # The store is down by the soak's own fault; the next report follows.
+
+    def change_config(self):
+        self.version += 1
+        self.fleet.store.put_config(self.version, {
+            "lots": route("/lots/", timeout=TIMEOUT), "weigh": route("/weigh/", kind="unsafe", timeout=TIMEOUT)})
+
+    async def disturb(self, until):
+        kinds = (self.kill, self.terminate, self.pause, self.cut_backend, self.spoil_backend, self.store_away,
+                 self.new_config)
+        running = set()
+        while time.monotonic() < until - 1.5:
+            running.add(asyncio.create_task(self.random.choice(kinds)()))
+            await asyncio.sleep(self.random.uniform(0.1, 0.9))
+        await asyncio.gather(*running)
+        for proxy in self.proxies:
+            proxy.set_mode("ok")
+        for backend in self.backends:
+            backend_address, backend.address = backend.address, backend.direct
+            backend.control(mode="ok")
+            backend.address = backend_address
+        self.fleet.store.control(mode="ok", delay_ms=0)
+
+    def pick_entry(self):
+        number = self.random.randrange(len(self.fleet.entries))
+        return number, self.fleet.entries[number]
+
+    async def kill(self):
+        number, entry = self.pick_entry()
+        self.note(f"kill {entry.name}")
+        entry.kill()
+        await self.restart(number)
+
+    async def terminate(self):
+        number, entry = self.pick_entry()
+        self.note(f"terminate {entry.name}")
+        entry.signal(signal.SIGTERM)
+        if self.random.random() < 0.3:
+            await asyncio.sleep(0.2)
+            self.note(f"kill {entry.name} while it leaves")
+            entry.kill()
+        await asyncio.to_thread(entry.child.wait, 10)
+        await self.restart(number)
+
+    async def restart(self, number):
+        await asyncio.sleep(self.random.uniform(0, 0.5))
+        old = self.fleet.entries[number]
+        if old.child.poll() is not None:
+            entry = self.fleet.start_entry(number)
+            self.note(f"start {entry.name}")
+
+    async def pause(self):
+        _, entry = self.pick_entry()
+        if entry.child.poll() is not None:
+            return
+        self.note(f"pause {entry.name}")
+        self.disturbed[entry.name] = time.monotonic() + 60
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, 2.0))
+        if entry.child.poll() is None:
+            entry.signal(signal.SIGCONT)
+        self.disturbed[entry.name] = time.monotonic() + TIMEOUT
+
+    async def cut_backend(self):
+        proxy = self.random.choice(self.proxies)
+        mode = self.random.choice(MODES[1:])
+        self.note(f"link {self.proxies.index(proxy)} {mode}")
+        proxy.set_mode(mode)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        proxy.set_mode("ok")
+
+    async def spoil_backend(self):
+        backend = self.random.choice(self.backends)
+        mode = self.random.choice(BACKEND_MODES)
+        self.note(f"back end {backend.name} {mode}")
+        await asyncio.to_thread(self.control, backend, mode)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await asyncio.to_thread(self.control, backend, "ok")
+
+    @staticmethod
+    def control(backend, mode):
+        from fleet import ask
+        ask(backend.direct, "POST", "/control", '{"mode": "%s", "late_ms": 200}' % mode)
+
+    async def store_away(self):
+        mode = self.random.choice(("down", "lose_answers"))
+        self.note(f"store {mode}")
+        await asyncio.to_thread(lambda: self.fleet.store.control(mode=mode))
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        await asyncio.to_thread(lambda: self.fleet.store.control(mode="ok"))
+
+    async def new_config(self):
+        self.note(f"config {self.version + 1}")
+        await self.in_store(self.change_config)
+
+    def check(self, settled):
+        """Every broken promise, as text."""
+        from fleet import ask
+        runs = {}
+        for backend in self.backends:
+            counts = ask(backend.direct, "GET", "/counts").json
+            for identity, count in counts["runs"].items():
+                runs[identity] = runs.get(identity, 0) + count
+        broken = []
+        for request in self.told:
+            ran = runs.get(request.identity, 0)
+            if request.path.startswith("/weigh") and ran > 1:
+                broken.append(f"{request.identity} ran {ran} times")
+            if request.path.startswith("/weigh") and request.status in NOT_RUN and ran:
+                broken.append(f"{request.identity} was told {request.status} and ran")
+            if request.status == 200 and (not request.headers.get("server-seal")
+                                          or request.headers.get("attempt-id") != request.identity):
+                broken.append(f"{request.identity} got a success that is not its own")
+            if request.status and request.ended - request.started > ANSWER_SECONDS \
+                    and request.entry not in self.disturbed:
+                broken.append(f"{request.identity} was answered after {request.ended - request.started:.2f} s")
+            if request.status == 404:
+                broken.append(f"{request.identity} was denied")
+        late = [request for request in self.told if request.started > settled]
+        served = sum(request.status == 200 for request in late)
+        if not late or served < 0.9 * len(late):
+            broken.append(f"{served} of {len(late)} were served after the faults")
+        return broken
+
+
+def play(seed, options):
+    directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = Soak(seed, options.seconds, options.entries, options.backends, directory)
+    try:
+        broken = asyncio.run(soak.run())
+    finally:
+        soak.fleet.end()
+    served = sum(request.status == 200 for request in soak.told)
+    print(f"seed={seed} requests={len(soak.told)} served={served} faults={len(soak.faults)} broken={len(broken)}")
+    if broken:
+        (directory / "faults.txt").write_text("\n".join(soak.faults + broken) + "\n")
+        print(f"kept: {directory}\n  " + "\n  ".join(broken[:10]))
+        return False
+    shutil.rmtree(directory)
+    return True
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("--seed", type=int, default=int(time.time()))
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--backends", type=int, default=4)
+    options = parser.parse_args()
+    passed = [play(seed, options) for seed in range(options.seed, options.seed + options.seeds)]
+    print(f"{sum(passed)} passed, {len(passed) - sum(passed)} failed")
+    return 0 if all(passed) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -177,9 +177,11 @@
     {
         std::uint64_t doubled = 0;
         json ids = json::array();
+        json runsById = json::object();
         for (const auto &[id, runs] : m_runs) {
             doubled += runs > 1 && !id.empty() ? 1 : 0;
             ids.push_back(id);
+            runsById[id] = runs;
         }
         return makeResponse(200,
                             json({{"started", m_started},
@@ -188,7 +190,8 @@
                                   {"doubled", doubled},
                                   {"refusals", m_refusals},
                                   {"probes", m_probes},
-                                  {"ids", ids}})
+                                  {"ids", ids},
+                                  {"runs", runsById}})
                                 .dump());
     }
 
