Prefer few back ends of the own zone, and tell the peers at once of becoming ready

Each entry now asks its 8 preferred back ends of its zone first, then the others of the zone, then other zones. Ruled out: a fixed subset alone, which leaves overflow nowhere to go.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -332,6 +332,7 @@
             return platform::decodeConfig(*answer->config);
         });
     }
+    const bool readyBefore = m_state.members().self().ready;
     if (m_state.applyAnswer(*answer, std::move(config), notice.age, askedAt, steady::now())) {
         log_line("view_changed")
             .add("source", notice.sender.name)
@@ -341,6 +342,10 @@
             .add("age_ms", notice.age->count())
             .info();
     }
+    if (m_state.members().self().ready != readyBefore) {
+        // Callers are sent here as soon as the peers know.
+        tellAll(m_state.notice(steady::now()));
+    }
     publish();
 }
 
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -58,7 +58,8 @@
     , m_pool(traffic.get_executor())
     , m_prober(traffic, m_pool)
     , m_forwarding{traffic, m_pool, m_prober, m_random, settings.zone}
-    , m_directory({settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retryReserve},
+    , m_directory(settings.vmName,
+                  {settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retryReserve},
                   settings.bounds.probesPerSecond)
     , m_traffic(
           traffic.get_executor(),
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -1,6 +1,7 @@
 #include "requestforwarding.h"
 
 #include "cardamomdeck/dispatch/admission.h"
+#include "cardamomdeck/dispatch/candidateorder.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -133,24 +134,31 @@
             usable.push_back(backend);
         }
     }
-    std::ranges::shuffle(usable, m_context.random);
-    std::stable_partition(usable.begin(), usable.end(), [now](const backend_traffic_ptr &backend) {
-        return !backend->health.isSuspect(now);
-    });
-    return usable;
+    std::vector<candidate_rank> ranks;
+    for (const backend_traffic_ptr &backend : usable) {
+        ranks.push_back({backend->preference, backend->health.isSuspect(now)});
+    }
+    std::vector<backend_traffic_ptr> ordered;
+    for (const std::size_t index : orderCandidates(ranks, m_context.random)) {
+        ordered.push_back(usable[index]);
+    }
+    return ordered;
 }
 
-asio::awaitable<void> request_forwarding::collect(std::vector<backend_traffic_ptr> group, milliseconds patience)
+asio::awaitable<void> request_forwarding::collect(std::vector<backend_traffic_ptr> &group, milliseconds patience)
 {
     service_traffic &service = *m_request.service;
     const std::size_t wanted = std::min(group.size(), probesPerZoneGroup);
-    group.resize(service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
-    if (group.empty()) {
+    const auto taken = static_cast<std::ptrdiff_t>(
+        service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
+    if (taken == 0) {
         co_return;
     }
+    std::vector<backend_traffic_ptr> probed(group.begin(), group.begin() + taken);
+    group.erase(group.begin(), group.begin() + taken);
     const time_point deadline = std::min(m_request.deadline, steady::now() + longestProbing);
     std::vector<probe_result> results
-        = co_await m_context.prober.probe(m_request.service, std::move(group), patience, deadline);
+        = co_await m_context.prober.probe(m_request.service, std::move(probed), patience, deadline);
     for (probe_result &result : results) {
         if (result.connection || result.load) {
             m_probed.push_back(std::move(result));
@@ -199,12 +207,13 @@
     std::optional<backend_choice> choice;
     if (m_request.service->probesWithoutLoad < uselessProbes) {
         std::vector<backend_traffic_ptr> ownZone = usableBackends(true);
-        co_await collect(std::move(ownZone), ownZonePatience);
-        choice = chooseProbed();
-        if (!m_ended && isWorthLookingFurther(choice, choiceRequest(steady::now()))) {
-            std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
-            co_await collect(std::move(otherZones), allZonesPatience);
-            choice = chooseProbed();
+        std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
+        // Each group is asked only if those before it offer nothing good.
+        for (auto *const group : {&ownZone, &ownZone, &otherZones}) {
+            if (!m_ended && isWorthLookingFurther(choice, choiceRequest(steady::now()))) {
+                co_await collect(*group, group == &ownZone ? ownZonePatience : allZonesPatience);
+                choice = chooseProbed();
+            }
         }
     }
     if (!choice) {
--- a/daemon/gateway/requestforwarding.h
+++ b/daemon/gateway/requestforwarding.h
@@ -107,10 +107,11 @@
     };
 
     boost::asio::awaitable<std::optional<chosen_backend>> choose();
-    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> group, milliseconds patience);
+    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> &group, milliseconds patience);
     boost::asio::awaitable<void> startAttempt();
     boost::asio::awaitable<void> attemptAt(chosen_backend chosen, std::uint32_t number);
     boost::asio::awaitable<connection_ptr> openConnection(backend_traffic_ptr backend);
+    /** Servers that may be tried: preferred ones first, and among them those that have not failed lately. */
     std::vector<backend_traffic_ptr> usableBackends(bool sameZone) const;
     std::optional<backend_choice> chooseProbed();
     chosen_backend takeProbed(const backend_choice &choice);
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -12,8 +12,9 @@
 
 }
 
-traffic_directory::traffic_directory(repeat_limits limits, double probesPerBackend)
-    : m_limits(limits)
+traffic_directory::traffic_directory(std::string entry, repeat_limits limits, double probesPerBackend)
+    : m_entry(std::move(entry))
+    , m_limits(limits)
     , m_probesPerBackend(probesPerBackend)
 {
 }
@@ -35,7 +36,7 @@
         for (const auto &[id, server] : servers) {
             const auto present = service->backends.find(id);
             const bool keeps = present != service->backends.end() && isSameIncarnation(present->second->server, server);
-            next[id] = keeps ? present->second : std::make_shared<backend_traffic>(server);
+            next[id] = keeps ? present->second : std::make_shared<backend_traffic>(server, m_entry);
             next[id]->server = server;
         }
         service->backends = std::move(next);
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -8,6 +8,7 @@
 
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/dispatch/backendhealth.h"
+#include "cardamomdeck/dispatch/candidateorder.h"
 #include "cardamomdeck/dispatch/loadreport.h"
 #include "cardamomdeck/dispatch/pacestatistics.h"
 #include "cardamomdeck/dispatch/probeallowance.h"
@@ -25,13 +26,16 @@
 /** One backend server as this entry uses it. */
 struct backend_traffic
 {
-    /** A server that was first seen at @p now. */
-    explicit backend_traffic(backend_server known)
+    /** The server @p known, as the entry @p entry uses it. */
+    backend_traffic(backend_server known, const std::string &entry)
         : server(std::move(known))
+        , preference(preferenceOf(entry, server.id))
     {
     }
 
     backend_server server;
+    /** See preferenceOf(). */
+    std::size_t preference;
     backend_health health;
     /** Requests sent and not answered. */
     std::uint32_t inFlight = 0;
@@ -77,8 +81,8 @@
 class traffic_directory
 {
 public:
-    /** Services whose repeats are bound by @p limits, and their probes by @p probesPerBackend a second. */
-    traffic_directory(repeat_limits limits, double probesPerBackend);
+    /** The entry @p entry; repeats are bound by @p limits, and probes by @p probesPerBackend a second. */
+    traffic_directory(std::string entry, repeat_limits limits, double probesPerBackend);
 
     /** Takes over a new view; what is known of remaining servers is kept. */
     void install(const fleet_view &view);
@@ -90,6 +94,7 @@
     const std::map<std::string, service_traffic_ptr> &services() const;
 
 private:
+    std::string m_entry;
     repeat_limits m_limits;
     double m_probesPerBackend;
     std::map<std::string, service_traffic_ptr> m_services;
