--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds allZonesPatience{15};
 
 /** Longest time without any answer to a probe before a server is chosen by this entry's own counts. */
-constexpr milliseconds longestProbing{120};
+constexpr milliseconds longestProbing{60};
 
 /** Probes without a load report after which a service is not probed any more. */
 constexpr std::uint32_t uselessProbes = 20;
@@ -50,8 +50,6 @@
 
 constexpr message_limits answerLimits{32U * 1024U, 128ULL * 1024 * 1024};
 
-constexpr double guessedWorkPart = 1.0 / 3.0;
-
 /** A second attempt starts when the first takes this many times as long as expected, and this part of the objective. */
 constexpr double lateFactor = 2.5;
 constexpr double latePart = 0.5;
@@ -118,7 +116,7 @@
     request.deadlineMs = toMilliseconds(m_request.deadline - now);
     request.averagePace = std::max(1.0, service.pace.valueOr(1.0));
     const auto found = service.ruleWorkMs.find(m_request.rule.name);
-    const double guessMs = guessedWorkPart * objectiveMs;
+    const double guessMs = guessedWorkMs(objectiveMs, toMilliseconds(m_request.deadline - m_request.arrival));
     request.work.requestMs = found == service.ruleWorkMs.end() ? guessMs : found->second.valueOr(guessMs);
     request.work.serviceMs = service.workMs.valueOr(guessMs);
     return request;
--- a/libs/dispatch/include/cardamomdeck/dispatch/admission.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/admission.h
@@ -21,6 +21,13 @@
     milliseconds retryAfter{0};
 };
 
+/**
+ * Usual time in milliseconds that is assumed for requests of which none has
+ * been answered yet. It leaves room for an answer to the most impatient
+ * caller, as a rule whose requests are all refused would never be learned.
+ */
+double guessedWorkMs(double objectiveMs, double patienceMs);
+
 /** Time after which a caller may come back whose request would take @p expectedMs now; spread at random. */
 milliseconds returnPause(double expectedMs, const choice_request &request, random_source &random);
 
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -11,6 +11,9 @@
 constexpr double shortestPauseMs = 20.0;
 constexpr double longestPauseMs = 1000.0;
 
+/** Part of the time that a caller allows for an answer, taken for the usual time of unknown work. */
+constexpr double guessedPart = 0.25;
+
 /** Part of the remaining time that a caller is prepared to pause for. */
 constexpr double pausePart = 0.33;
 
@@ -19,6 +22,11 @@
 
 }
 
+double guessedWorkMs(double objectiveMs, double patienceMs)
+{
+    return guessedPart * std::min(objectiveMs, patienceMs);
+}
+
 milliseconds returnPause(double expectedMs, const choice_request &request, random_source &random)
 {
     const double longest = std::min(longestPauseMs, pausePart * request.deadlineMs);
--- a/libs/dispatch/tests/backendchoicetest.cpp
+++ b/libs/dispatch/tests/backendchoicetest.cpp
@@ -80,6 +80,19 @@
     cr_assert_eq(chosen({warming, reporting(1, 0, 1.0)}, millLookup()), 1);
 }
 
+TestSuite(a_rule_is_new);
+
+Test(a_rule_is_new, its_first_requests_are_sent_also_for_callers_less_patient_than_its_objective)
+{
+    random_source random(1);
+    constexpr double objectiveMs = 1200;
+    constexpr double patienceMs = 300;
+    const double guess = guessedWorkMs(objectiveMs, patienceMs);
+    const choice_request request{{guess, guess}, objectiveMs, patienceMs, 2.0};
+    const auto choice = chooseBackend(std::vector{reporting(1, 0, 1.0)}, request, random);
+    cr_assert(admit(choice, request, 2, 1, random).admitted);
+}
+
 TestSuite(the_fleet_is_overloaded);
 
 Test(the_fleet_is_overloaded, what_cannot_be_answered_in_time_is_refused_at_once)
