--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -1,5 +1,7 @@
 #include "fleetcontrol.h"
 
+#include "decodeorlog.h"
+
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/platform/recordcodec.h"
@@ -8,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <ctime>
@@ -17,7 +18,6 @@
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
-namespace leaf = boost::leaf;
 using platform::store_topic;
 
 namespace {
@@ -64,29 +64,6 @@
     return {settings.vmName, settings.zone, settings.host, unixMilliseconds(), false};
 }
 
-/** The decoded record, or nothing and a log line when it comes from another writer. */
-template<typename decoder>
-auto decodeOrLog(const std::string &key, store_offset offset, decoder decode)
-    -> std::optional<std::decay_t<decltype(*decode())>>
-{
-    using value = std::decay_t<decltype(*decode())>;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<value>> {
-            BOOST_LEAF_AUTO(decoded, decode());
-            return std::optional<value>(std::move(decoded));
-        },
-        [&](const failure &error) {
-            log_line("record_rejected")
-                .add("code", infoOf(error.code).name)
-                .add("key", key)
-                .add("offset", offset)
-                .add("detail", error.detail)
-                .warn();
-            return std::optional<value>();
-        },
-        [] { return std::optional<value>(); });
-}
-
 }
 
 fleet_control::fleet_control(asio::io_context &context, const platform::platform_settings &settings, publisher publish)
@@ -97,6 +74,7 @@
     , m_state(makeSelf(settings))
     , m_link(context, m_state)
     , m_store(context.get_executor(), settings.store)
+    , m_reader(m_store, m_state)
     , m_readTimer(context)
 {
     m_link.onNotice([this](const peer_notice &notice) { hear(notice); });
@@ -140,7 +118,7 @@
     }
     for (const platform::keyed_record &item : read.records) {
         const auto member
-            = decodeOrLog(item.key, item.offset, [&] { return platform::decodeMember(item.value.value_or("")); });
+            = decodeOrLog("record_rejected", item.key, [&] { return platform::decodeMember(item.value.value_or("")); });
         if (member) {
             m_state.members().learned(*member, steady::now());
         }
@@ -199,7 +177,7 @@
     reading.startedAt = steady::now();
     const time_point deadline = reading.startedAt + storeTimeout;
     const view_position before = m_state.position();
-    const bool read = co_await readConfig(reading, deadline) && co_await readBackends(reading, deadline);
+    const bool read = co_await m_reader.read(reading, deadline);
     noteStore(read);
     if (!read) {
         m_state.noteReadFailed(steady::now());
@@ -220,65 +198,6 @@
     co_return true;
 }
 
-asio::awaitable<bool> fleet_control::readConfig(store_reading &reading, time_point deadline)
-{
-    const view_position position = m_state.position();
-    platform::keyed_read read;
-    read.code = result_code::offset_expired;
-    if (position.configVersion > 0) {
-        read = co_await m_store.readFrom(store_topic::operator_config, position.configEnd, deadline);
-    }
-    if (read.code == result_code::offset_expired) {
-        read = co_await m_store.readNewest(store_topic::operator_config, deadline);
-    }
-    if (read.code != result_code::ok) {
-        co_return false;
-    }
-    reading.configEnd = read.end;
-    for (const platform::keyed_record &item : read.records) {
-        if (item.key != platform::configKey || !item.value) {
-            continue;
-        }
-        auto config = decodeOrLog(item.key, item.offset, [&] { return platform::decodeConfig(*item.value); });
-        if (config && (!reading.config || config->version > reading.config->version)) {
-            reading.config = std::move(config);
-            reading.configText = *item.value;
-        }
-    }
-    co_return true;
-}
-
-asio::awaitable<bool> fleet_control::readBackends(store_reading &reading, time_point deadline)
-{
-    const view_position position = m_state.position();
-    platform::keyed_read read;
-    read.code = result_code::offset_expired;
-    if (m_state.isComplete()) {
-        read = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEnd, deadline);
-    }
-    if (read.code == result_code::offset_expired) {
-        read = co_await m_store.readNewest(store_topic::backend_servers, deadline);
-        reading.completeListing = true;
-    }
-    if (read.code != result_code::ok) {
-        co_return false;
-    }
-    reading.backendsEnd = read.end;
-    const time_point now = steady::now();
-    for (platform::keyed_record &item : read.records) {
-        backend_record record{item.key, item.offset, std::nullopt};
-        if (item.value) {
-            record.server = decodeOrLog(
-                item.key, item.offset, [&] { return platform::decodeBackend(item.key, *item.value, now); });
-            if (!record.server) {
-                continue;
-            }
-        }
-        reading.backends.push_back(std::move(record));
-    }
-    co_return true;
-}
-
 void fleet_control::noteStore(bool available)
 {
     if (available != m_storeAvailable) {
@@ -328,9 +247,8 @@
     }
     std::optional<traffic_config> config;
     if (answer->config) {
-        config = decodeOrLog(std::string(platform::configKey), answer->position.configEnd, [&] {
-            return platform::decodeConfig(*answer->config);
-        });
+        config = decodeOrLog(
+            "record_rejected", platform::configKey, [&] { return platform::decodeConfig(*answer->config); });
     }
     const bool readyBefore = m_state.members().self().ready;
     if (m_state.applyAnswer(*answer, std::move(config), notice.age, askedAt, steady::now())) {
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "peerlink.h"
+#include "storereader.h"
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/fleet/fleetstate.h"
@@ -55,8 +56,6 @@
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> heartbeatLoop();
     boost::asio::awaitable<bool> readStore();
-    boost::asio::awaitable<bool> readConfig(store_reading &reading, time_point deadline);
-    boost::asio::awaitable<bool> readBackends(store_reading &reading, time_point deadline);
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
     void tellAll(const peer_notice &notice);
@@ -72,6 +71,7 @@
     fleet_state m_state;
     peer_link m_link;
     platform::store_client m_store;
+    store_reader m_reader;
     boost::asio::steady_timer m_readTimer;
     fleet_view_ptr m_published;
     std::optional<nanoseconds> m_suspendedTotal;
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "peerlink.h"
 
-#include "cardamomdeck/base/logline.h"
+#include "decodeorlog.h"
+
 #include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/http/framing.h"
 
@@ -8,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include <array>
 
@@ -16,7 +16,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace leaf = boost::leaf;
 using asio::ip::tcp;
 using asio::ip::udp;
 
@@ -33,23 +32,6 @@
 /** Largest heartbeat in bytes. */
 constexpr std::size_t largestDatagram = 4096;
 
-/** Logs and drops what cannot be decoded. */
-template<typename decoder>
-auto decodeOrDrop(decoder decode) -> std::optional<std::decay_t<decltype(*decode())>>
-{
-    using value = std::decay_t<decltype(*decode())>;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<value>> {
-            BOOST_LEAF_AUTO(decoded, decode());
-            return std::optional<value>(std::move(decoded));
-        },
-        [](const failure &error) {
-            log_line("peer_message_rejected").add("code", infoOf(error.code).name).add("detail", error.detail).warn();
-            return std::optional<value>();
-        },
-        [] { return std::optional<value>(); });
-}
-
 }
 
 peer_link::peer_link(asio::io_context &context, fleet_state &state)
@@ -119,7 +101,8 @@
             continue;
         }
         const std::string_view message(buffer.data(), size);
-        if (const auto notice = decodeOrDrop([&] { return decodeNotice(message, steady::now()); })) {
+        if (const auto notice
+            = decodeOrLog("peer_message_rejected", "notice", [&] { return decodeNotice(message, steady::now()); })) {
             m_notice(*notice);
         }
     }
@@ -146,7 +129,7 @@
     if (!frame) {
         co_return;
     }
-    const auto question = decodeOrDrop([&] { return decodeQuestion(*frame); });
+    const auto question = decodeOrLog("peer_message_rejected", "question", [&] { return decodeQuestion(*frame); });
     if (!question) {
         co_return;
     }
@@ -176,7 +159,7 @@
     if (!frame) {
         co_return std::nullopt;
     }
-    co_return decodeOrDrop([&] { return decodeAnswer(*frame, steady::now()); });
+    co_return decodeOrLog("peer_message_rejected", "answer", [&] { return decodeAnswer(*frame, steady::now()); });
 }
 
 }
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -1,7 +1,6 @@
 #include "requestforwarding.h"
 
 #include "cardamomdeck/dispatch/admission.h"
-#include "cardamomdeck/dispatch/candidateorder.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -19,19 +18,6 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-/** Backend servers of one zone that are probed for a request; more find a free slot hardly more often. */
-constexpr std::size_t probesPerZoneGroup = 5;
-
-/** Time after which probes of the own zone, and of all zones, are not waited for when others have answered. */
-constexpr milliseconds ownZonePatience{10};
-constexpr milliseconds allZonesPatience{15};
-
-/** Longest time without any answer to a probe before a server is chosen by this entry's own counts. */
-constexpr milliseconds longestProbing{60};
-
-/** Probes without a load report after which a service is not probed any more. */
-constexpr std::uint32_t uselessProbes = 20;
-
 /** Longest time for connecting to a backend server; a reachable one accepts within some milliseconds. */
 constexpr milliseconds connectTimeout{300};
 
@@ -59,6 +45,7 @@
 request_forwarding::request_forwarding(forwarding_context &context, forwarded_request request)
     : m_context(context)
     , m_request(std::move(request))
+    , m_selection(context, m_request)
     , m_wake(context.context)
 {
 }
@@ -107,147 +94,26 @@
            + std::chrono::round<nanoseconds>(std::chrono::duration<double, std::milli>(lateMs));
 }
 
-choice_request request_forwarding::choiceRequest(time_point now) const
-{
-    const double objectiveMs = toMilliseconds(m_request.rule.latencyObjective);
-    const service_traffic &service = *m_request.service;
-    choice_request request;
-    request.objectiveMs = std::max(1.0, objectiveMs - toMilliseconds(now - m_request.arrival));
-    request.deadlineMs = toMilliseconds(m_request.deadline - now);
-    request.averagePace = std::max(1.0, service.pace.valueOr(1.0));
-    const auto found = service.ruleWorkMs.find(m_request.rule.name);
-    const double guessMs = guessedWorkMs(objectiveMs, toMilliseconds(m_request.deadline - m_request.arrival));
-    request.work.requestMs = found == service.ruleWorkMs.end() ? guessMs : found->second.valueOr(guessMs);
-    request.work.serviceMs = service.workMs.valueOr(guessMs);
-    return request;
-}
-
-std::vector<backend_traffic_ptr> request_forwarding::usableBackends(bool sameZone) const
-{
-    const time_point now = steady::now();
-    std::vector<backend_traffic_ptr> usable;
-    for (const auto &[id, backend] : m_request.service->backends) {
-        const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && backend->avoidedUntil <= now && !m_tried.contains(id)) {
-            usable.push_back(backend);
-        }
-    }
-    std::vector<candidate_rank> ranks;
-    for (const backend_traffic_ptr &backend : usable) {
-        ranks.push_back({backend->preference, backend->health.isSuspect(now)});
-    }
-    std::vector<backend_traffic_ptr> ordered;
-    for (const std::size_t index : orderCandidates(ranks, m_context.random)) {
-        ordered.push_back(usable[index]);
-    }
-    return ordered;
-}
-
-asio::awaitable<void> request_forwarding::collect(std::vector<backend_traffic_ptr> &group, milliseconds patience)
-{
-    service_traffic &service = *m_request.service;
-    const std::size_t wanted = std::min(group.size(), probesPerZoneGroup);
-    const auto taken = static_cast<std::ptrdiff_t>(
-        service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
-    if (taken == 0) {
-        co_return;
-    }
-    std::vector<backend_traffic_ptr> probed(group.begin(), group.begin() + taken);
-    group.erase(group.begin(), group.begin() + taken);
-    const time_point deadline = std::min(m_request.deadline, steady::now() + longestProbing);
-    std::vector<probe_result> results
-        = co_await m_context.prober.probe(m_request.service, std::move(probed), patience, deadline);
-    for (probe_result &result : results) {
-        if (result.connection || result.load) {
-            m_probed.push_back(std::move(result));
-        }
-    }
-}
-
-std::optional<backend_choice> request_forwarding::chooseProbed()
-{
-    const time_point now = steady::now();
-    std::vector<backend_candidate> candidates;
-    for (const probe_result &result : m_probed) {
-        const backend_traffic &backend = *result.backend;
-        backend_candidate candidate;
-        candidate.report = result.load;
-        candidate.inFlight = backend.inFlight;
-        candidate.sentSince = static_cast<std::uint32_t>(backend.sent - result.sentBefore);
-        candidate.failureShare = backend.health.failureShare(now);
-        candidate.sameZone = backend.server.zone == m_context.zone;
-        candidate.warmingUp = backend.server.warmUntil > now;
-        candidates.push_back(candidate);
-    }
-    return chooseBackend(candidates, choiceRequest(now), m_context.random);
-}
-
-request_forwarding::chosen_backend request_forwarding::takeProbed(const backend_choice &choice)
-{
-    probe_result &result = m_probed[choice.index];
-    m_lastLoad = result.load;
-    return {result.backend, std::move(result.connection), choice};
-}
-
-void request_forwarding::releaseProbed()
-{
-    for (probe_result &result : m_probed) {
-        if (result.connection) {
-            m_context.pool.giveBack(result.backend->server.id, result.connection);
-        }
-    }
-    m_probed.clear();
-}
-
-asio::awaitable<std::optional<request_forwarding::chosen_backend>> request_forwarding::choose()
-{
-    m_probed.clear();
-    std::optional<backend_choice> choice;
-    if (m_request.service->probesWithoutLoad < uselessProbes) {
-        std::vector<backend_traffic_ptr> ownZone = usableBackends(true);
-        std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
-        // Each group is asked only if those before it offer nothing good.
-        for (auto *const group : {&ownZone, &ownZone, &otherZones}) {
-            if (!m_ended && isWorthLookingFurther(choice, choiceRequest(steady::now()))) {
-                co_await collect(*group, group == &ownZone ? ownZonePatience : allZonesPatience);
-                choice = chooseProbed();
-            }
-        }
-    }
-    if (!choice) {
-        // Nothing is known but this entry's own counts.
-        for (const bool sameZone : {true, false}) {
-            for (const backend_traffic_ptr &backend : usableBackends(sameZone)) {
-                m_probed.push_back({backend, nullptr, std::nullopt, backend->sent, false});
-            }
-        }
-        choice = chooseProbed();
-    }
-    m_probedCount = m_probed.size();
-    std::optional<chosen_backend> chosen;
-    if (choice) {
-        chosen = takeProbed(*choice);
-    }
-    releaseProbed();
-    co_return chosen;
-}
-
 asio::awaitable<void> request_forwarding::startAttempt()
 {
-    std::optional<chosen_backend> chosen = co_await choose();
+    std::optional<chosen_backend> chosen = co_await m_selection.choose(m_tried);
     if (m_ended) {
-        if (chosen && chosen->connection) {
-            m_context.pool.giveBack(chosen->backend->server.id, chosen->connection);
+        if (chosen) {
+            m_selection.giveBack(*chosen);
         }
         co_return;
     }
+    if (chosen) {
+        m_lastLoad = chosen->load;
+        m_probedCount = chosen->probed;
+    }
     const std::optional<backend_choice> choice = chosen ? std::optional(chosen->choice) : std::nullopt;
-    const choice_request wanted = choiceRequest(steady::now());
+    const choice_request wanted = describeChoice(m_request, steady::now());
     const admission_decision decision
         = admit(choice, wanted, m_request.rule.priority, m_request.mostUrgentPriority, m_context.random);
     if (!decision.admitted || wanted.deadlineMs < shortestAttemptMs) {
-        if (chosen && chosen->connection) {
-            m_context.pool.giveBack(chosen->backend->server.id, chosen->connection);
+        if (chosen) {
+            m_selection.giveBack(*chosen);
         }
         m_outcome.retryAfter = decision.retryAfter;
         if (m_live.empty()) {
@@ -433,9 +299,10 @@
         return;
     }
     m_ended = true;
+    m_selection.cancel();
     m_outcome.code = code;
     if (m_outcome.retryAfter.count() == 0) {
-        m_outcome.retryAfter = returnPause(m_expectedMs, choiceRequest(steady::now()), m_context.random);
+        m_outcome.retryAfter = returnPause(m_expectedMs, describeChoice(m_request, steady::now()), m_context.random);
     }
     for (const attempt &live : m_live) {
         if (live.connection) {
--- a/daemon/gateway/requestforwarding.h
+++ b/daemon/gateway/requestforwarding.h
@@ -4,9 +4,8 @@
  */
 #pragma once
 
-#include "backendprober.h"
-#include "connectionpool.h"
-#include "servicetraffic.h"
+#include "backendselection.h"
+#include "forwardedrequest.h"
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/base/resultcode.h"
@@ -28,31 +27,6 @@
 
 namespace cardamomdeck {
 
-/** What all requests of an entry share. */
-struct forwarding_context
-{
-    boost::asio::io_context &context;
-    connection_pool &pool;
-    backend_prober &prober;
-    random_source &random;
-    std::string zone;
-};
-
-/** A request with what decides about it. */
-struct forwarded_request
-{
-    http_request message;
-    std::string id;
-    traffic_rule rule;
-    service_traffic_ptr service;
-    /** Most urgent priority among the rules of the service. */
-    std::uint32_t mostUrgentPriority = 0;
-    std::size_t liveMembers = 1;
-    time_point arrival;
-    /** When the caller or the rule gives the request up. */
-    time_point deadline;
-};
-
 /** How a request ended. */
 struct forwarding_outcome
 {
@@ -92,12 +66,6 @@
     std::optional<load_report> lastLoad() const;
 
 private:
-    struct chosen_backend
-    {
-        backend_traffic_ptr backend;
-        connection_ptr connection;
-        backend_choice choice;
-    };
     struct attempt
     {
         std::uint32_t number = 0;
@@ -106,17 +74,9 @@
         time_point startedAt;
     };
 
-    boost::asio::awaitable<std::optional<chosen_backend>> choose();
-    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> &group, milliseconds patience);
     boost::asio::awaitable<void> startAttempt();
     boost::asio::awaitable<void> attemptAt(chosen_backend chosen, std::uint32_t number);
     boost::asio::awaitable<connection_ptr> openConnection(backend_traffic_ptr backend);
-    /** Servers that may be tried: preferred ones first, and among them those that have not failed lately. */
-    std::vector<backend_traffic_ptr> usableBackends(bool sameZone) const;
-    std::optional<backend_choice> chooseProbed();
-    chosen_backend takeProbed(const backend_choice &choice);
-    void releaseProbed();
-    choice_request choiceRequest(time_point now) const;
     void settle(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
     void noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
     void learnWork(double tookMs);
@@ -128,8 +88,8 @@
 
     forwarding_context &m_context;
     forwarded_request m_request;
+    backend_selection m_selection;
     boost::asio::steady_timer m_wake;
-    std::vector<probe_result> m_probed;
     std::set<std::string> m_tried;
     std::vector<attempt> m_live;
     forwarding_outcome m_outcome;
--- /dev/null
+++ b/daemon/gateway/storereader.cpp
@@ -0,0 +1,82 @@
+#include "storereader.h"
+
+#include "decodeorlog.h"
+
+#include "cardamomdeck/platform/recordcodec.h"
+
+namespace cardamomdeck {
+
+namespace asio = boost::asio;
+using platform::store_topic;
+
+store_reader::store_reader(platform::store_client &store, const fleet_state &state)
+    : m_store(store)
+    , m_state(state)
+{
+}
+
+asio::awaitable<bool> store_reader::read(store_reading &reading, time_point deadline)
+{
+    co_return co_await readConfig(reading, deadline) && co_await readBackends(reading, deadline);
+}
+
+asio::awaitable<bool> store_reader::readConfig(store_reading &reading, time_point deadline)
+{
+    const view_position position = m_state.position();
+    platform::keyed_read read;
+    read.code = result_code::offset_expired;
+    if (position.configVersion > 0) {
+        read = co_await m_store.readFrom(store_topic::operator_config, position.configEnd, deadline);
+    }
+    if (read.code == result_code::offset_expired) {
+        read = co_await m_store.readNewest(store_topic::operator_config, deadline);
+    }
+    if (read.code != result_code::ok) {
+        co_return false;
+    }
+    reading.configEnd = read.end;
+    for (const platform::keyed_record &item : read.records) {
+        if (item.key != platform::configKey || !item.value) {
+            continue;
+        }
+        auto config = decodeOrLog("record_rejected", item.key, [&] { return platform::decodeConfig(*item.value); });
+        if (config && (!reading.config || config->version > reading.config->version)) {
+            reading.config = std::move(config);
+            reading.configText = *item.value;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> store_reader::readBackends(store_reading &reading, time_point deadline)
+{
+    const view_position position = m_state.position();
+    platform::keyed_read read;
+    read.code = result_code::offset_expired;
+    if (m_state.isComplete()) {
+        read = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEnd, deadline);
+    }
+    if (read.code == result_code::offset_expired) {
+        read = co_await m_store.readNewest(store_topic::backend_servers, deadline);
+        reading.completeListing = true;
+    }
+    if (read.code != result_code::ok) {
+        co_return false;
+    }
+    reading.backendsEnd = read.end;
+    const time_point now = steady::now();
+    for (platform::keyed_record &item : read.records) {
+        backend_record record{item.key, item.offset, std::nullopt};
+        if (item.value) {
+            record.server = decodeOrLog(
+                "record_rejected", item.key, [&] { return platform::decodeBackend(item.key, *item.value, now); });
+            if (!record.server) {
+                continue;
+            }
+        }
+        reading.backends.push_back(std::move(record));
+    }
+    co_return true;
+}
+
+}
