--- a/daemon/gateway/backendselection.cpp
+++ b/daemon/gateway/backendselection.cpp
@@ -1,6 +1,7 @@
 #include "backendselection.h"
 
 #include "cardamomdeck/dispatch/candidateorder.h"
+#include "cardamomdeck/dispatch/proberound.h"
 
 #include <algorithm>
 
@@ -10,13 +11,6 @@
 
 namespace {
 
-/** Backend servers of one zone that are probed for a request; more find a free slot hardly more often. */
-constexpr std::size_t probesPerZoneGroup = 5;
-
-/** Time after which probes of the own zone, and of all zones, are not waited for when others have answered. */
-constexpr milliseconds ownZonePatience{10};
-constexpr milliseconds allZonesPatience{15};
-
 /** Longest time without any answer to a probe before a server is chosen by this entry's own counts. */
 constexpr milliseconds longestProbing{60};
 
@@ -64,10 +58,10 @@
     return ordered;
 }
 
-asio::awaitable<void> backend_selection::collect(std::vector<backend_traffic_ptr> &group, milliseconds patience)
+asio::awaitable<void> backend_selection::collect(std::vector<backend_traffic_ptr> &group, const probe_round &round)
 {
     service_traffic &service = *m_request.service;
-    const std::size_t wanted = std::min(group.size(), probesPerZoneGroup);
+    const std::size_t wanted = std::min(group.size(), round.servers);
     const auto taken = static_cast<std::ptrdiff_t>(
         service.probesAllowed.take(wanted, service.backends.size(), m_request.liveMembers, steady::now()));
     if (taken == 0) {
@@ -77,7 +71,7 @@
     group.erase(group.begin(), group.begin() + taken);
     const time_point deadline = std::min(m_request.deadline, steady::now() + longestProbing);
     std::vector<probe_result> results
-        = co_await m_context.prober.probe(m_request.service, std::move(probed), patience, deadline);
+        = co_await m_context.prober.probe(m_request.service, std::move(probed), round.patience, deadline);
     for (probe_result &result : results) {
         if (result.connection || result.load) {
             m_probed.push_back(std::move(result));
@@ -127,10 +121,9 @@
     if (m_request.service->probesWithoutLoad < uselessProbes) {
         std::vector<backend_traffic_ptr> ownZone = usableBackends(true);
         std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
-        // Each group is asked only if those before it offer nothing good.
-        for (auto *const group : {&ownZone, &ownZone, &otherZones}) {
-            if (!m_cancelled && isWorthLookingFurther(choice, describeChoice(m_request, steady::now()))) {
-                co_await collect(*group, group == &ownZone ? ownZonePatience : allZonesPatience);
+        for (const probe_round &round : probeRounds()) {
+            if (!m_cancelled && round.isNeeded(choice, describeChoice(m_request, steady::now()))) {
+                co_await collect(round.ownZone ? ownZone : otherZones, round);
                 choice = chooseProbed();
             }
         }
--- a/daemon/gateway/backendselection.h
+++ b/daemon/gateway/backendselection.h
@@ -6,6 +6,8 @@
 
 #include "forwardedrequest.h"
 
+#include "cardamomdeck/dispatch/proberound.h"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <cstddef>
@@ -45,7 +47,7 @@
     void giveBack(const chosen_backend &chosen);
 
 private:
-    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> &group, milliseconds patience);
+    boost::asio::awaitable<void> collect(std::vector<backend_traffic_ptr> &group, const probe_round &round);
     /** Servers that may be tried: preferred ones first, and those that have failed lately last. */
     std::vector<backend_traffic_ptr> usableBackends(bool sameZone) const;
     std::optional<backend_choice> chooseProbed();
--- a/libs/dispatch/include/cardamomdeck/dispatch/backendchoice.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendchoice.h
@@ -57,6 +57,9 @@
 std::optional<backend_choice>
 chooseBackend(std::span<const backend_candidate> candidates, const choice_request &request, random_source &random);
 
+/** True unless an idle server at its usual pace was found: another one of the same zone may be better. */
+bool isWorthComparing(const std::optional<backend_choice> &choice, const choice_request &request);
+
 /** True when a server of another zone may be worth looking for. */
 bool isWorthLookingFurther(const std::optional<backend_choice> &choice, const choice_request &request);
 
--- a/libs/dispatch/src/backendchoice.cpp
+++ b/libs/dispatch/src/backendchoice.cpp
@@ -23,6 +23,9 @@
 /** Multiple of the usual time up to which an expected answer is good enough; a slow server also blocks its slot. */
 constexpr double goodFactor = 2.0;
 
+/** Multiple of the usual time below which only idle servers at their usual pace are expected to answer. */
+constexpr double idleFactor = 1.25;
+
 double expectedMs(const backend_candidate &candidate, const choice_request &request, bool *slotFree)
 {
     double total = 0;
@@ -61,6 +64,11 @@
     return best;
 }
 
+bool isWorthComparing(const std::optional<backend_choice> &choice, const choice_request &request)
+{
+    return !choice || !choice->slotFree || choice->expectedMs > idleFactor * request.work.requestMs;
+}
+
 bool isWorthLookingFurther(const std::optional<backend_choice> &choice, const choice_request &request)
 {
     return !choice || !choice->slotFree || choice->expectedMs > goodFactor * request.work.requestMs;
--- /dev/null
+++ b/libs/dispatch/src/proberound.cpp
@@ -0,0 +1,38 @@
+#include "cardamomdeck/dispatch/proberound.h"
+
+#include <array>
+
+namespace cardamomdeck {
+
+namespace {
+
+/** Probed first: at the usual load one of three servers is idle and quick in most cases. */
+constexpr std::size_t firstServers = 3;
+
+/** Probed of a zone before others are asked; more find a free slot hardly more often. */
+constexpr std::size_t serversOfZone = 5;
+
+/** An answer within a zone takes some 2 ms, and one from another zone some 3 ms more. */
+constexpr milliseconds ownZonePatience{10};
+constexpr milliseconds otherZonesPatience{15};
+
+bool nothingChosen(const std::optional<backend_choice> &best, const choice_request &)
+{
+    return !best;
+}
+
+constexpr std::array<probe_round, 4> rounds{{
+    {true, firstServers, ownZonePatience, nothingChosen},
+    {true, serversOfZone - firstServers, ownZonePatience, isWorthComparing},
+    {true, serversOfZone, ownZonePatience, isWorthLookingFurther},
+    {false, serversOfZone, otherZonesPatience, isWorthLookingFurther},
+}};
+
+}
+
+std::span<const probe_round> probeRounds()
+{
+    return rounds;
+}
+
+}
