Hand large news on in a tree, and spread the reads of a large fleet whose readers fail

Cause, from a trial that logged each call: after every change of the configuration, and after each change of more than six back ends, all 115 entries asked the one reader over TCP. On 0.1 of a core it answers some 75 a second, so the views of the others reached the last age, and 69 to 92 entries read at once, at 3, 6, 7 and 12 s. Ruled out: refused readers (the third by rank had read in time), lost datagrams. News that do not fit a datagram now go to one entry of each zone and on in a tree of four; a receiver that does not confirm is left out, and whoever is still without them after 250 ms asks the reader as before. How fresh the view is comes from the reader's datagram only, as a late segment would make it look fresher. Reads at the last age are spread by rank over up to 250 ms before it.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -46,6 +46,10 @@
 /** Period in which the first entry by rank reads the members, so that parts of the fleet find each other. */
 constexpr milliseconds membersPeriod{20'000};
 
+/** Time for which relayed news are waited for before the sender is asked, and by which such questions are spread. */
+constexpr milliseconds relayPatience{250};
+constexpr milliseconds relaySpread{150};
+
 /** Jump between the clocks above which the process counts as having been suspended. */
 constexpr milliseconds suspensionLimit{300};
 
@@ -73,11 +77,13 @@
     , m_random(std::random_device()())
     , m_state(makeSelf(settings))
     , m_link(context, m_state)
+    , m_relay(context, m_link)
     , m_store(context.get_executor(), settings.store)
     , m_reader(m_store, m_state)
     , m_readTimer(context)
 {
     m_link.onNotice([this](const peer_notice &notice) { hear(notice); });
+    m_link.onPush([this](const view_push &push) { takeOver(push); });
 }
 
 result_code fleet_control::start()
@@ -194,7 +200,13 @@
             .info();
         publish();
     }
-    tellAll(m_state.news(before, steady::now()));
+    const time_point now = steady::now();
+    peer_notice news = m_state.news(before, now);
+    if (const auto push = m_state.push(before, now)) {
+        news.relayed = true;
+        m_relay.spread(*push, relayGroups(m_state.members().alive(now), m_state.members().self()));
+    }
+    tellAll(news);
     co_return true;
 }
 
@@ -236,8 +248,34 @@
     publish();
 }
 
+void fleet_control::takeOver(const view_push &push)
+{
+    m_relay.spread(push, splitEvenly(push.hosts));
+    std::optional<traffic_config> config;
+    if (push.news.config) {
+        config = decodeOrLog(
+            "record_rejected", platform::configKey, [&] { return platform::decodeConfig(*push.news.config); });
+    }
+    if (m_state.applyPush(push, std::move(config), steady::now())) {
+        log_line("view_changed")
+            .add("source", "relay")
+            .add("config", m_state.position().configVersion)
+            .add("backends_changed_at", m_state.position().backendsChangedAt)
+            .info();
+        publish();
+    }
+}
+
 asio::awaitable<void> fleet_control::askPeer(peer_notice notice)
 {
+    if (notice.relayed) {
+        const double spread = randomUnit(m_random) * static_cast<double>(relaySpread.count());
+        co_await sleepUntil(steady::now() + relayPatience + milliseconds(static_cast<milliseconds::rep>(spread)));
+        if (m_state.knows(notice.position)) {
+            m_asking = false;
+            co_return;
+        }
+    }
     const time_point askedAt = steady::now();
     const view_question question{m_state.position()};
     const auto answer = co_await m_link.ask(notice.sender.host, question);
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "newsrelay.h"
 #include "peerlink.h"
 #include "storereader.h"
 
@@ -58,6 +59,7 @@
     boost::asio::awaitable<bool> readStore();
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
+    void takeOver(const view_push &push);
     void tellAll(const peer_notice &notice);
     void sendHeartbeat();
     void noteStore(bool available);
@@ -70,6 +72,7 @@
     random_source m_random;
     fleet_state m_state;
     peer_link m_link;
+    news_relay m_relay;
     platform::store_client m_store;
     store_reader m_reader;
     boost::asio::steady_timer m_readTimer;
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -26,6 +26,9 @@
 /** Longest time for one question and its answer. */
 constexpr milliseconds askTimeout{500};
 
+/** Longest time until a peer confirms news; a live one takes some 20 ms on a small VM. */
+constexpr milliseconds pushTimeout{200};
+
 /** Largest answer in bytes: a configuration of many rules and all back ends. */
 constexpr std::size_t largestFrame = 8U * 1024U * 1024U;
 
@@ -75,6 +78,11 @@
     m_notice = std::move(handler);
 }
 
+void peer_link::onPush(std::function<void(view_push)> handler)
+{
+    m_push = std::move(handler);
+}
+
 void peer_link::send(const peer_notice &notice, const std::vector<std::string> &hosts)
 {
     const std::string bytes = encode(notice, steady::now());
@@ -129,16 +137,24 @@
     if (!frame) {
         co_return;
     }
-    const auto question = decodeOrLog("peer_message_rejected", "question", [&] { return decodeQuestion(*frame); });
-    if (!question) {
+    auto request
+        = decodeOrLog("peer_message_rejected", "request", [&] { return decodeRequest(*frame, steady::now()); });
+    if (!request) {
+        co_return;
+    }
+    if (auto *const push = std::get_if<view_push>(&*request)) {
+        const std::string confirmation;
+        co_await writeFrame(stream, confirmation, m_bytes);
+        m_push(std::move(*push));
         co_return;
     }
     const time_point now = steady::now();
-    const std::string reply = encode(m_state.answer(*question, now), now);
+    const std::string reply = encode(m_state.answer(std::get<view_question>(*request), now), now);
     co_await writeFrame(stream, reply, m_bytes);
 }
 
-asio::awaitable<std::optional<view_answer>> peer_link::ask(std::string host, view_question question)
+asio::awaitable<std::optional<std::string>>
+peer_link::exchange(std::string host, std::string message, time_point deadline)
 {
     beast::error_code addressError;
     const tcp::endpoint endpoint(asio::ip::make_address(host, addressError), m_port);
@@ -146,20 +162,28 @@
         co_return std::nullopt;
     }
     beast::tcp_stream stream(m_context);
-    stream.expires_at(steady::now() + askTimeout);
+    stream.expires_at(deadline);
     const auto [error] = co_await stream.async_connect(endpoint, asTuple);
-    if (error) {
-        co_return std::nullopt;
-    }
-    const std::string message = encode(question);
-    if (!co_await writeFrame(stream, message, m_bytes)) {
+    if (error || !co_await writeFrame(stream, message, m_bytes)) {
         co_return std::nullopt;
     }
-    const auto frame = co_await readFrame(stream, largestFrame, m_bytes);
+    co_return co_await readFrame(stream, largestFrame, m_bytes);
+}
+
+asio::awaitable<std::optional<view_answer>> peer_link::ask(std::string host, view_question question)
+{
+    const auto frame = co_await exchange(std::move(host), encode(question), steady::now() + askTimeout);
     if (!frame) {
         co_return std::nullopt;
     }
     co_return decodeOrLog("peer_message_rejected", "answer", [&] { return decodeAnswer(*frame, steady::now()); });
 }
 
+asio::awaitable<bool> peer_link::push(std::string host, view_push push)
+{
+    const time_point now = steady::now();
+    const auto confirmation = co_await exchange(std::move(host), encode(push, now), now + pushTimeout);
+    co_return confirmation.has_value();
+}
+
 }
--- a/daemon/gateway/peerlink.h
+++ b/daemon/gateway/peerlink.h
@@ -34,13 +34,21 @@
     /** Calls @p handler for each heartbeat. */
     void onNotice(std::function<void(const peer_notice &)> handler);
 
+    /** Calls @p handler for news that a peer hands on. */
+    void onPush(std::function<void(view_push)> handler);
+
     /** Sends a heartbeat to @p hosts. */
     void send(const peer_notice &notice, const std::vector<std::string> &hosts);
 
     /** Asks the entry at @p host; nothing when it does not answer in time. */
     boost::asio::awaitable<std::optional<view_answer>> ask(std::string host, view_question question);
 
+    /** Hands @p push to the entry at @p host; false when it does not confirm that in time. */
+    boost::asio::awaitable<bool> push(std::string host, view_push push);
+
 private:
+    boost::asio::awaitable<std::optional<std::string>>
+    exchange(std::string host, std::string message, time_point deadline);
     boost::asio::awaitable<void> receiveLoop();
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
@@ -50,6 +58,7 @@
     boost::asio::ip::udp::socket m_datagrams;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::function<void(const peer_notice &)> m_notice;
+    std::function<void(view_push)> m_push;
     std::uint16_t m_port = 0;
     std::uint64_t m_bytes = 0;
 };
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -83,6 +83,15 @@
     /** A notice with the changes after @p before, if they are few. */
     peer_notice news(const view_position &before, time_point now) const;
 
+    /** What is new after @p before, when it must be handed on because news() cannot carry it to a large fleet. */
+    std::optional<view_push> push(const view_position &before, time_point now) const;
+
+    /** Takes over news that were handed on; true when the view changed. */
+    bool applyPush(const view_push &push, std::optional<traffic_config> config, time_point now);
+
+    /** True when nothing at @p position is new. */
+    bool knows(const view_position &position) const;
+
     /** Forgets lapsed servers and silent members; true when the view changed. */
     bool expire(time_point now);
 
@@ -119,7 +128,15 @@
 private:
     bool installConfig(traffic_config config, std::string text);
     void noteFresh(time_point at, time_point now);
-    bool knows(const view_position &position) const;
+    bool fitsNotice(const std::vector<backend_record> &records) const;
+    void noteAwaited(time_point now);
+
+    /** A newer view that was announced, and when it was known to be complete. */
+    struct awaited_view
+    {
+        view_position position;
+        time_point freshAt;
+    };
 
     member_table m_members;
     backend_registry m_backends;
@@ -128,6 +145,7 @@
     std::string m_configText;
     store_offset m_configEnd = 0;
     bool m_complete = false;
+    std::optional<awaited_view> m_awaited;
     time_point m_askMembersAfter;
     bool m_introduced = false;
     bool m_leaving = false;
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -96,6 +96,9 @@
     /** Members that callers may use, this entry included while it is ready. */
     std::vector<fleet_member> ready(time_point now) const;
 
+    /** True when the fleet is too large for heartbeats between all members. */
+    bool isLarge() const;
+
     /** Number of live members whose names come before this entry's. */
     std::size_t rank(time_point now) const;
 
@@ -110,7 +113,6 @@
 
     bool isAlive(const peer &entry, time_point now) const;
     milliseconds silenceLimitOf(const peer &entry) const;
-    bool isLarge() const;
     std::vector<member_sighting>
     nextSightings(std::size_t count, time_point now, bool ownZoneOnly, std::string &last) const;
     bool isReporter(time_point now) const;
--- a/libs/fleet/include/cardamomdeck/fleet/peernotice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace cardamomdeck {
@@ -55,6 +56,8 @@
     std::vector<member_sighting> sightings;
     /** Changes that are small enough to be sent at once. */
     std::optional<backend_changes> changes;
+    /** What is new at this position is on its way through other entries. */
+    bool relayed = false;
 
     bool operator==(const peer_notice &) const = default;
 };
@@ -79,16 +82,34 @@
     bool operator==(const view_answer &) const = default;
 };
 
+/** News that are too large for a datagram, handed from entry to entry. */
+struct view_push
+{
+    /** What a receiver must know already to take over the backend servers. */
+    view_position after;
+    /** The newer part of the view; names no members. */
+    view_answer news;
+    /** Addresses of the entries that the receiver is to hand the news on to. */
+    std::vector<std::string> hosts;
+
+    bool operator==(const view_push &) const = default;
+};
+
+/** What an entry may send over a connection to a peer. */
+using peer_request = std::variant<view_question, view_push>;
+
 /** Deadlines are sent as what is left at @p now. */
 std::string encode(const peer_notice &notice, time_point now);
 /** @copydoc encode */
 std::string encode(const view_answer &answer, time_point now);
 std::string encode(const view_question &question);
+/** @copydoc encode */
+std::string encode(const view_push &push, time_point now);
 
 /** Errors: frame_malformed. */
 boost::leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now);
 /** @copydoc decodeNotice */
-boost::leaf::result<view_question> decodeQuestion(std::string_view message);
+boost::leaf::result<peer_request> decodeRequest(std::string_view message, time_point now);
 /** @copydoc decodeNotice */
 boost::leaf::result<view_answer> decodeAnswer(std::string_view message, time_point now);
 
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -25,6 +25,13 @@
     static constexpr milliseconds ageStep{150};
     /** Age at which every entry reads, whatever its rank. */
     static constexpr milliseconds lastAge{1350};
+    /**
+     * Time between the entries that read near lastAge, so that in a large fleet the news of the first that succeeds
+     * reach most of the others before they read too.
+     */
+    static constexpr microseconds lastAgeStep{2000};
+    /** Most time over which they are spread; a read and its news take some 30 ms on a small VM. */
+    static constexpr microseconds lastAgeSpread{250'000};
     /** Pause after a first failed read; doubles up to longestPause. */
     static constexpr milliseconds shortestPause{400};
     static constexpr milliseconds longestPause{1600};
@@ -41,8 +48,8 @@
     /** Forgets how fresh the view was, and any pause; the next read is due at @p now. */
     void distrust(time_point now);
 
-    /** When the entry of rank @p rank, counted from 0, should read next. */
-    time_point nextRead(std::size_t rank) const;
+    /** When the entry of rank @p rank, counted from 0, among @p members live ones should read next. */
+    time_point nextRead(std::size_t rank, std::size_t members) const;
 
     /** The last moment at which the view was known to be complete. */
     time_point freshAt() const;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -90,6 +90,7 @@
         }
     }
     if (!knows(notice.position)) {
+        m_awaited = {notice.position, now - *notice.age};
         result.ask = true;
         return result;
     }
@@ -104,6 +105,33 @@
     return result;
 }
 
+void fleet_state::noteAwaited(time_point now)
+{
+    if (!m_awaited || !knows(m_awaited->position)) {
+        return;
+    }
+    noteFresh(m_awaited->freshAt, now);
+    m_configEnd = std::max(m_configEnd, m_awaited->position.configEnd);
+    m_backends.advanceTo(m_awaited->position.backendsEnd);
+    m_awaited.reset();
+}
+
+bool fleet_state::applyPush(const view_push &push, std::optional<traffic_config> config, time_point now)
+{
+    bool changed = false;
+    if (config && push.news.config) {
+        changed = installConfig(std::move(*config), *push.news.config);
+    }
+    // With a gap before them, the records would pass for everything up to their position.
+    if (m_complete && m_backends.changedAt() >= push.after.backendsChangedAt) {
+        for (const backend_record &record : push.news.backends) {
+            changed = m_backends.apply(record, now) || changed;
+        }
+    }
+    noteAwaited(now);
+    return changed;
+}
+
 bool fleet_state::applyAnswer(const view_answer &answer,
                               std::optional<traffic_config> config,
                               std::optional<milliseconds> age,
@@ -128,6 +156,7 @@
         m_configEnd = std::max(m_configEnd, answer.position.configEnd);
         m_backends.advanceTo(answer.position.backendsEnd);
     }
+    noteAwaited(now);
     return changed;
 }
 
@@ -169,16 +198,33 @@
     return beat;
 }
 
+bool fleet_state::fitsNotice(const std::vector<backend_record> &records) const
+{
+    return records.size() <= changesPerNotice;
+}
+
 peer_notice fleet_state::news(const view_position &before, time_point now) const
 {
     peer_notice news = notice(now);
     std::vector<backend_record> records = m_backends.since(before.backendsChangedAt + 1);
-    if (!records.empty() && records.size() <= changesPerNotice) {
+    if (!records.empty() && fitsNotice(records)) {
         news.changes = {before.backendsChangedAt, std::move(records)};
     }
     return news;
 }
 
+std::optional<view_push> fleet_state::push(const view_position &before, time_point now) const
+{
+    const bool newConfig = m_config->version > before.configVersion;
+    const bool fits = !newConfig && fitsNotice(m_backends.since(before.backendsChangedAt + 1));
+    if (fits || !m_members.isLarge()) {
+        return std::nullopt;
+    }
+    view_push push{before, answer({before}, now), {}};
+    push.news.members.clear();
+    return push;
+}
+
 bool fleet_state::expire(time_point now)
 {
     m_members.expire(now);
@@ -200,7 +246,7 @@
 
 time_point fleet_state::nextRead(time_point now) const
 {
-    return m_schedule.nextRead(m_members.rank(now));
+    return m_schedule.nextRead(m_members.rank(now), m_members.alive(now).size());
 }
 
 time_point fleet_state::freshAt() const
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -102,6 +102,43 @@
     return records;
 }
 
+/** First field of what is sent over a connection. */
+enum class request_kind {
+    question = 0,
+    push = 1,
+};
+
+json toJson(const view_answer &answer, time_point now)
+{
+    json members = json::array();
+    for (const fleet_member &member : answer.members) {
+        members.push_back(toJson(member));
+    }
+    return json::array(
+        {toJson(answer.position), answer.config.value_or(std::string()), recordsToJson(answer.backends, now), members});
+}
+
+view_answer answerFromJson(const json &fields, time_point now)
+{
+    view_answer answer;
+    answer.position = positionFromJson(fields.at(0));
+    if (auto config = fields.at(1).get<std::string>(); !config.empty()) {
+        answer.config = std::move(config);
+    }
+    answer.backends = recordsFromJson(fields.at(2), now);
+    for (const json &member : fields.at(3)) {
+        answer.members.push_back(memberFromJson(member));
+    }
+    return answer;
+}
+
+view_push pushFromJson(const json &fields, time_point now)
+{
+    return {positionFromJson(fields.at(1)),
+            answerFromJson(fields.at(2), now),
+            fields.at(3).get<std::vector<std::string>>()};
+}
+
 std::string pack(const json &message)
 {
     std::string bytes;
@@ -134,25 +171,23 @@
         changes.push_back(recordsToJson(notice.changes->records, now));
     }
     const json age = notice.age ? json(notice.age->count()) : json();
-    return pack(
-        json::array({toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes}));
+    return pack(json::array(
+        {toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes, notice.relayed}));
 }
 
 std::string encode(const view_question &question)
 {
-    return pack(toJson(question.position));
+    return pack(json::array({request_kind::question, toJson(question.position)}));
+}
+
+std::string encode(const view_push &push, time_point now)
+{
+    return pack(json::array({request_kind::push, toJson(push.after), toJson(push.news, now), push.hosts}));
 }
 
 std::string encode(const view_answer &answer, time_point now)
 {
-    json members = json::array();
-    for (const fleet_member &member : answer.members) {
-        members.push_back(toJson(member));
-    }
-    return pack(json::array({toJson(answer.position),
-                             answer.config.value_or(std::string()),
-                             recordsToJson(answer.backends, now),
-                             members}));
+    return pack(toJson(answer, now));
 }
 
 leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now)
@@ -172,29 +207,27 @@
         if (const json &changes = fields.at(5); !changes.empty()) {
             notice.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
         }
+        notice.relayed = fields.at(6).get<bool>();
         return notice;
     });
 }
 
-leaf::result<view_question> decodeQuestion(std::string_view message)
+leaf::result<peer_request> decodeRequest(std::string_view message, time_point now)
 {
-    return unpack(message, [](const json &fields) { return view_question{positionFromJson(fields)}; });
+    return unpack(message, [now](const json &fields) -> peer_request {
+        switch (fields.at(0).get<request_kind>()) {
+        case request_kind::question:
+            return view_question{positionFromJson(fields.at(1))};
+        case request_kind::push:
+            return pushFromJson(fields, now);
+        }
+        throw std::invalid_argument("unknown kind of request");
+    });
 }
 
 leaf::result<view_answer> decodeAnswer(std::string_view message, time_point now)
 {
-    return unpack(message, [now](const json &fields) {
-        view_answer answer;
-        answer.position = positionFromJson(fields.at(0));
-        if (auto config = fields.at(1).get<std::string>(); !config.empty()) {
-            answer.config = std::move(config);
-        }
-        answer.backends = recordsFromJson(fields.at(2), now);
-        for (const json &member : fields.at(3)) {
-            answer.members.push_back(memberFromJson(member));
-        }
-        return answer;
-    });
+    return unpack(message, [now](const json &fields) { return answerFromJson(fields, now); });
 }
 
 }
--- a/libs/fleet/src/readschedule.cpp
+++ b/libs/fleet/src/readschedule.cpp
@@ -27,10 +27,13 @@
     m_pause = milliseconds(0);
 }
 
-time_point read_schedule::nextRead(std::size_t rank) const
+time_point read_schedule::nextRead(std::size_t rank, std::size_t members) const
 {
-    const auto steps = static_cast<milliseconds::rep>(rank);
-    const milliseconds age = std::min(lastAge, firstAge + ageStep * steps);
+    const auto steps = static_cast<microseconds::rep>(rank);
+    const auto entries = static_cast<microseconds::rep>(std::max(rank + 1, members));
+    const microseconds step = std::min(lastAgeStep, lastAgeSpread / entries);
+    const microseconds latest = lastAge - step * (entries - steps);
+    const microseconds age = std::min<microseconds>(latest, firstAge + ageStep * steps);
     return std::max(m_freshAt + age, m_pausedUntil);
 }
 
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -197,6 +197,96 @@
     cr_assert_leq(entry.nextRead(first) - first, read_schedule::longestPause);
 }
 
+Test(readers_fall_silent, a_large_fleet_does_not_read_all_at_once)
+{
+    constexpr std::size_t members = 119;
+    read_schedule schedule;
+    schedule.noteFresh(start);
+    constexpr milliseconds newsTime{30};
+    const time_point firstOfTheRest = schedule.nextRead(4, members);
+    std::size_t together = 0;
+    for (std::size_t rank = 5; rank < members; ++rank) {
+        const time_point at = schedule.nextRead(rank, members);
+        cr_assert_leq(at, start + read_schedule::lastAge);
+        together += at < firstOfTheRest + newsTime ? 1 : 0;
+    }
+    cr_assert_lt(together, members / 6);
+}
+
+TestSuite(news_too_large_for_a_datagram_are_handed_on);
+
+namespace {
+
+/** An entry of a fleet of @p size, which it has all heard. */
+fleet_state entryOf(const std::string &name, std::size_t size)
+{
+    fleet_state entry(member(name));
+    for (std::size_t i = 0; i + 1 < size; ++i) {
+        entry.hear(heartbeatOf("m" + std::to_string(i)), start);
+    }
+    return entry;
+}
+
+std::vector<backend_record> manyBackends(store_offset count)
+{
+    std::vector<backend_record> records;
+    for (store_offset offset = 0; offset < count; ++offset) {
+        records.push_back(backend("s" + std::to_string(offset), offset));
+    }
+    return records;
+}
+
+}
+
+Test(news_too_large_for_a_datagram_are_handed_on, a_new_configuration_in_a_large_fleet_only)
+{
+    fleet_state large = entryOf("e1", 30);
+    large.applyReading(reading(start, 3, {}), start);
+    cr_assert(large.push({}, start).has_value());
+    cr_assert_not(large.push(large.position(), start).has_value());
+    fleet_state small = entryOf("e1", 15);
+    small.applyReading(reading(start, 3, {}), start);
+    cr_assert_not(small.push({}, start).has_value());
+}
+
+Test(news_too_large_for_a_datagram_are_handed_on, the_receiver_is_as_current_as_the_announcement_said)
+{
+    fleet_state reader = entryOf("e1", 30);
+    fleet_state peer = entryOf("e2", 30);
+    reader.applyReading(reading(start, 3, {}), start);
+    peer.applyReading(reading(start, 3, {}), start);
+    const view_position before = reader.position();
+    const time_point readAt = start + milliseconds(700);
+    reader.applyReading(reading(readAt, 4, manyBackends(20)), readAt);
+    const time_point later = readAt + milliseconds(30);
+    cr_assert(peer.hear(reader.news(before, later), later).ask);
+    cr_assert(peer.applyPush(*reader.push(before, later), config(4), later + milliseconds(40)));
+    cr_assert(peer.position() == reader.position());
+    cr_assert_eq(peer.view(later)->backends.at("lots").size(), 20);
+    cr_assert_geq(peer.freshAt(), readAt - milliseconds(1));
+    cr_assert_leq(peer.freshAt(), readAt);
+}
+
+Test(news_too_large_for_a_datagram_are_handed_on, a_gap_before_them_is_not_covered_up)
+{
+    fleet_state reader = entryOf("e1", 30);
+    fleet_state peer = entryOf("e2", 30);
+    peer.applyReading(reading(start, 3, {}), start);
+    reader.applyReading(reading(start, 3, manyBackends(20)), start);
+    const view_position before = reader.position();
+    std::vector<backend_record> further;
+    for (store_offset offset = 20; offset < 40; ++offset) {
+        further.push_back(backend("t" + std::to_string(offset), offset));
+    }
+    const time_point readAt = start + milliseconds(700);
+    reader.applyReading(reading(readAt, 4, further), readAt);
+    cr_assert(peer.applyPush(*reader.push(before, readAt), config(4), readAt));
+    cr_assert_eq(peer.view(readAt)->config->version, 4);
+    cr_assert(peer.view(readAt)->backends.empty());
+    cr_assert_not(peer.knows(reader.position()));
+    cr_assert_leq(peer.freshAt(), start);
+}
+
 TestSuite(the_process_was_suspended);
 
 Test(the_process_was_suspended, its_view_is_read_again_at_once)
@@ -234,12 +324,14 @@
     }
     cr_assert(decodeNotice(encode(notice, start), start).value() == notice);
     const view_question question{{1, 2, 3, 4}};
-    cr_assert(decodeQuestion(encode(question)).value() == question);
+    cr_assert(std::get<view_question>(decodeRequest(encode(question), start).value()) == question);
     view_answer answer = reader.answer({}, start);
     for (backend_record &record : answer.backends) {
         record.server->warmUntil = start + milliseconds(700);
     }
     cr_assert(decodeAnswer(encode(answer, start), start).value() == answer);
+    const view_push push{{1, 2, 3, 4}, answer, {"10.0.0.1", "10.0.0.2"}};
+    cr_assert(std::get<view_push>(decodeRequest(encode(push, start), start).value()) == push);
 }
 
 Test(messages_between_entries, damaged_ones_are_refused)
@@ -251,4 +343,9 @@
         cr_assert_not(decodeAnswer(whole.substr(0, size), start));
     }
     cr_assert_not(decodeNotice("\x93\x01\x02\x03", start));
+    const std::string push = encode(view_push{{}, reader.answer({}, start), {"10.0.0.1"}}, start);
+    for (std::size_t size = 0; size < push.size(); ++size) {
+        cr_assert_not(decodeRequest(push.substr(0, size), start));
+    }
+    cr_assert_not(decodeRequest("\x92\x07\x90", start));
 }
--- /dev/null
+++ b/libs/fleet/tests/relaytreetest.cpp
@@ -0,0 +1,100 @@
+#include "cardamomdeck/fleet/relaytree.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace cardamomdeck;
+
+namespace {
+
+std::vector<fleet_member> makeFleet(std::size_t size, const std::vector<std::string> &zones)
+{
+    std::vector<fleet_member> members;
+    for (std::size_t i = 0; i < size; ++i) {
+        const std::string number = std::to_string(i);
+        members.push_back({"e" + number, zones[i % zones.size()], "h" + number, 1, true});
+    }
+    return members;
+}
+
+/** Hands on through the tree that begins with @p groups; how often each entry sends, and the levels below the first. */
+struct relay_course
+{
+    std::multiset<std::string> reached;
+    std::map<std::string, std::size_t> sent;
+    std::size_t levels = 0;
+};
+
+relay_course play(const std::vector<relay_group> &groups)
+{
+    relay_course course;
+    std::deque<std::pair<relay_group, std::size_t>> pending;
+    for (const relay_group &group : groups) {
+        pending.emplace_back(group, 1);
+    }
+    while (!pending.empty()) {
+        const auto [group, level] = pending.front();
+        pending.pop_front();
+        course.reached.insert(group.front());
+        course.levels = std::max(course.levels, level);
+        for (const relay_group &next : splitEvenly({group.begin() + 1, group.end()})) {
+            ++course.sent[group.front()];
+            pending.emplace_back(next, level + 1);
+        }
+    }
+    return course;
+}
+
+}
+
+TestSuite(news_reach_a_large_fleet);
+
+Test(news_reach_a_large_fleet, every_other_entry_hears_them_once)
+{
+    const std::vector<fleet_member> fleet = makeFleet(119, {"a", "b", "c", "d"});
+    const relay_course course = play(relayGroups(fleet, fleet[7]));
+    cr_assert_eq(course.reached.size(), 118);
+    cr_assert_eq(std::set<std::string>(course.reached.begin(), course.reached.end()).size(), 118);
+    cr_assert_not(course.reached.contains("h7"));
+}
+
+Test(news_reach_a_large_fleet, they_cross_to_each_other_zone_once)
+{
+    const std::vector<fleet_member> fleet = makeFleet(119, {"a", "b", "c", "d"});
+    std::map<std::string, std::string> zoneOf;
+    for (const fleet_member &member : fleet) {
+        zoneOf[member.host] = member.zone;
+    }
+    std::map<std::string, std::size_t> crossings;
+    for (const relay_group &group : relayGroups(fleet, fleet[0])) {
+        const std::string zone = zoneOf[group.front()];
+        crossings[zone] += zone == "a" ? 0 : 1;
+        cr_assert(std::ranges::all_of(group, [&](const std::string &host) { return zoneOf[host] == zone; }));
+    }
+    cr_assert_eq(crossings["b"], 1);
+    cr_assert_eq(crossings["c"], 1);
+    cr_assert_eq(crossings["d"], 1);
+}
+
+Test(news_reach_a_large_fleet, nobody_sends_to_more_than_a_few_also_among_a_thousand)
+{
+    const std::vector<fleet_member> fleet = makeFleet(1000, {"a", "b", "c"});
+    const std::vector<relay_group> groups = relayGroups(fleet, fleet[0]);
+    cr_assert_leq(groups.size(), relayFanout + 2);
+    const relay_course course = play(groups);
+    cr_assert_leq(course.levels, 6);
+    for (const auto &[host, count] : course.sent) {
+        cr_assert_leq(count, relayFanout);
+    }
+}
+
+Test(news_reach_a_large_fleet, a_single_entry_has_nobody_to_tell)
+{
+    const std::vector<fleet_member> fleet = makeFleet(1, {"a"});
+    cr_assert(relayGroups(fleet, fleet[0]).empty());
+    cr_assert(splitEvenly({}).empty());
+}
