Let an entry that started after its clock was set back outrank its earlier start

Problem: incarnations are ordered by the time of day at the start. When that is set back between two starts, peers keep the earlier record, which says not ready, for as long as the entry lives: it gets no callers through them. A peer now tells the sender of the later incarnation that it knows, and the sender raises its own, as in SWIM. Live members are counted without building a list.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -187,6 +187,11 @@
             .info();
         publish();
     }
+    if (heard.laterSender) {
+        peer_notice correction = m_state.notice(now);
+        correction.sightings = {{*heard.laterSender, milliseconds(0)}};
+        m_link.send(correction, {notice.sender.host});
+    }
     if (!heard.memberChanged) {
         return;
     }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -56,6 +56,8 @@
         bool memberChanged = false;
         /** The notice brought changes of backend servers. */
         bool viewChanged = false;
+        /** A later incarnation of the sender that is known, which the sender must hear of. */
+        std::optional<fleet_member> laterSender;
     };
 
     /** Takes over a heartbeat. */
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,10 @@
     std::string name;
     std::string zone;
     std::string host;
-    /** Unix time of its start in milliseconds; a later one replaces an earlier one. */
+    /**
+     * Orders the incarnations of a name; a later one replaces an earlier one. Unix time of the start in milliseconds,
+     * raised when the time of day was set back between two starts, see member_table.
+     */
     std::int64_t bornMs = 0;
     /** It serves callers. */
     bool ready = false;
@@ -60,8 +64,8 @@
     /** A table of the entry @p self. */
     explicit member_table(fleet_member self);
 
-    /** Changes what this entry says of itself. */
-    void setSelf(fleet_member self);
+    /** Changes whether this entry says that it serves callers. */
+    void setReady(bool ready);
 
     /** This entry. */
     const fleet_member &self() const;
@@ -75,6 +79,12 @@
     /** Notes that another member heard @p member at @p at. */
     void sighted(const fleet_member &member, time_point at, time_point now);
 
+    /**
+     * What is known of the name of @p member when it is of a later incarnation. A live member that says less than is
+     * known of it has started after its time of day was set back, and must be told.
+     */
+    std::optional<fleet_member> laterIncarnation(const fleet_member &member) const;
+
     /** Members to send the next heartbeat to. */
     std::vector<fleet_member> heartbeatTargets(time_point now, random_source &random) const;
 
@@ -93,6 +103,9 @@
     /** Live members, this entry included. */
     std::vector<fleet_member> alive(time_point now) const;
 
+    /** Number of live members, this entry included. */
+    std::size_t countAlive(time_point now) const;
+
     /** Members that callers may use, this entry included while it is ready. */
     std::vector<fleet_member> ready(time_point now) const;
 
@@ -112,6 +125,7 @@
     };
 
     bool isAlive(const peer &entry, time_point now) const;
+    bool isSelf(const fleet_member &member);
     milliseconds silenceLimitOf(const peer &entry) const;
     std::vector<member_sighting>
     nextSightings(std::size_t count, time_point now, bool ownZoneOnly, std::string &last) const;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -29,9 +29,7 @@
     }
     m_config = std::make_shared<traffic_config>(std::move(config));
     m_configText = std::move(text);
-    fleet_member self = m_members.self();
-    self.ready = !m_leaving;
-    m_members.setSelf(std::move(self));
+    m_members.setReady(!m_leaving);
     return true;
 }
 
@@ -77,6 +75,7 @@
 fleet_state::hearing fleet_state::hear(const peer_notice &notice, time_point now)
 {
     hearing result;
+    result.laterSender = m_members.laterIncarnation(notice.sender);
     result.memberChanged = m_members.heard(notice.sender, now);
     for (const member_sighting &sighting : notice.sightings) {
         m_members.sighted(sighting.member, now - sighting.age, now);
@@ -94,7 +93,7 @@
         result.ask = true;
         return result;
     }
-    const bool lacksMembers = notice.liveMembers > m_members.alive(now).size() && now >= m_askMembersAfter;
+    const bool lacksMembers = notice.liveMembers > m_members.countAlive(now) && now >= m_askMembersAfter;
     if (lacksMembers) {
         m_askMembersAfter = now + membersAskPause;
     }
@@ -177,7 +176,7 @@
     peer_notice notice;
     notice.sender = m_members.self();
     notice.position = position();
-    notice.liveMembers = m_members.alive(now).size();
+    notice.liveMembers = m_members.countAlive(now);
     if (m_complete) {
         notice.age = std::chrono::ceil<milliseconds>(now - m_schedule.freshAt());
     }
@@ -239,14 +238,12 @@
 void fleet_state::startLeaving()
 {
     m_leaving = true;
-    fleet_member self = m_members.self();
-    self.ready = false;
-    m_members.setSelf(std::move(self));
+    m_members.setReady(false);
 }
 
 time_point fleet_state::nextRead(time_point now) const
 {
-    return m_schedule.nextRead(m_members.rank(now), m_members.alive(now).size());
+    return m_schedule.nextRead(m_members.rank(now), m_members.countAlive(now));
 }
 
 time_point fleet_state::freshAt() const
@@ -282,7 +279,7 @@
         view->backends[server.service].emplace(id, server);
     }
     view->readyMembers = m_members.ready(now);
-    view->liveMembers = m_members.alive(now).size();
+    view->liveMembers = m_members.countAlive(now);
     return view;
 }
 
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -9,9 +9,9 @@
 {
 }
 
-void member_table::setSelf(fleet_member self)
+void member_table::setReady(bool ready)
 {
-    m_self = std::move(self);
+    m_self.ready = ready;
 }
 
 const fleet_member &member_table::self() const
@@ -32,13 +32,33 @@
     return entry;
 }
 
+bool member_table::isSelf(const fleet_member &member)
+{
+    if (member.name != m_self.name) {
+        return false;
+    }
+    if (member.bornMs > m_self.bornMs) {
+        // An earlier incarnation with a later time of day; peers would take this one for the earlier.
+        m_self.bornMs = member.bornMs + 1;
+    }
+    return true;
+}
+
+std::optional<fleet_member> member_table::laterIncarnation(const fleet_member &member) const
+{
+    const auto found = m_peers.find(member.name);
+    const bool later = found != m_peers.end() && found->second.member.bornMs > member.bornMs;
+    return later ? std::optional(found->second.member) : std::nullopt;
+}
+
 bool member_table::heard(const fleet_member &member, time_point now)
 {
-    if (member.name == m_self.name) {
+    if (isSelf(member)) {
         return false;
     }
     const auto found = m_peers.find(member.name);
-    const bool news = found == m_peers.end() || !isAlive(found->second, now) || found->second.member != member;
+    const bool news = found == m_peers.end() || !isAlive(found->second, now)
+                      || (found->second.member != member && found->second.member.bornMs <= member.bornMs);
     peer &entry = update(member, now);
     entry.heardAt = now;
     entry.everHeard = true;
@@ -47,9 +67,11 @@
 
 void member_table::learned(const fleet_member &member, time_point now)
 {
+    if (isSelf(member)) {
+        return;
+    }
     const auto found = m_peers.find(member.name);
-    const bool newer = found == m_peers.end() || found->second.member.bornMs < member.bornMs;
-    if (member.name != m_self.name && newer) {
+    if (found == m_peers.end() || found->second.member.bornMs < member.bornMs) {
         update(member, now);
     }
 }
@@ -81,7 +103,7 @@
 
 void member_table::sighted(const fleet_member &member, time_point at, time_point now)
 {
-    if (member.name == m_self.name) {
+    if (isSelf(member)) {
         return;
     }
     peer &entry = update(member, now);
@@ -173,6 +195,12 @@
     return members;
 }
 
+std::size_t member_table::countAlive(time_point now) const
+{
+    const auto peers = std::ranges::count_if(m_peers, [&](const auto &item) { return isAlive(item.second, now); });
+    return 1 + static_cast<std::size_t>(peers);
+}
+
 std::vector<fleet_member> member_table::ready(time_point now) const
 {
     std::vector<fleet_member> members = alive(now);
@@ -182,9 +210,8 @@
 
 std::size_t member_table::rank(time_point now) const
 {
-    const std::vector<fleet_member> members = alive(now);
-    return static_cast<std::size_t>(
-        std::ranges::count_if(members, [this](const fleet_member &member) { return member.name < m_self.name; }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_peers, [&](const auto &item) { return item.first < m_self.name && isAlive(item.second, now); }));
 }
 
 }
--- a/libs/fleet/tests/membertabletest.cpp
+++ b/libs/fleet/tests/membertabletest.cpp
@@ -143,3 +143,37 @@
     cr_assert_null(matchTrafficRule(config, "other.example", "/lots/1"));
     cr_assert_null(matchTrafficRule(config, "mill.example", "/lot"));
 }
+
+TestSuite(the_time_of_day_was_set_back_between_two_starts);
+
+Test(the_time_of_day_was_set_back_between_two_starts, the_later_start_is_told_and_then_believed)
+{
+    member_table peer(member("e1"));
+    fleet_member leaving = member("e2", 5000);
+    leaving.ready = false;
+    peer.heard(leaving, start);
+    const fleet_member restarted = member("e2", 3000);
+    member_table own(restarted);
+    peer.heard(own.self(), start + milliseconds(100));
+    cr_assert_eq(peer.ready(start + milliseconds(100)).size(), 1);
+    const auto later = peer.laterIncarnation(own.self());
+    cr_assert(later.has_value());
+    own.sighted(*later, start + milliseconds(101), start + milliseconds(101));
+    cr_assert(peer.heard(own.self(), start + milliseconds(102)));
+    cr_assert_eq(peer.ready(start + milliseconds(102)).size(), 2);
+    cr_assert_not(peer.laterIncarnation(own.self()).has_value());
+}
+
+Test(the_time_of_day_was_set_back_between_two_starts, an_answer_that_names_the_earlier_start_tells_it_too)
+{
+    member_table own(member("e2", 3000));
+    own.learned(member("e2", 5000), start);
+    cr_assert_gt(own.self().bornMs, 5000);
+}
+
+Test(the_time_of_day_was_set_back_between_two_starts, heartbeats_that_are_not_believed_yet_are_no_news)
+{
+    member_table peer(member("e1"));
+    peer.heard(member("e2", 5000), start);
+    cr_assert_not(peer.heard(member("e2", 3000), start + milliseconds(400)));
+}
