Choose the entries for a caller by zone, region and fleet, at random where there are too many

Problem: of more than 64 ready entries of a zone only the first 64 by name were ever named to callers; a zone with two of thirty entries left took all its callers; and a caller of a lost zone was sent to entries of all regions. The lifetime of an answer is the bound of the settings.

--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-/** How long callers may use an answer about addresses; some keep it three times as long. */
-constexpr milliseconds addressLifetime{5000};
-
-/** Ready entries of a zone from which callers of that zone are sent to them only. */
-constexpr std::size_t enoughInZone = 2;
-
 /** Requests of one connection that are served at once. */
 constexpr std::size_t pipelineDepth = 16;
 
@@ -148,30 +142,23 @@
         co_return makeResponse(ready ? 200 : 503, "{}");
     }
     if (const auto question = platform::decodeAddressQuestion(request)) {
-        co_return answerAddresses(question->zone);
+        co_return answerAddresses({question->zone, question->region});
     }
     co_return makeResponse(404, "{}");
 }
 
-http_response gateway_path::answerAddresses(const std::string &zone) const
+http_response gateway_path::answerAddresses(const caller_place &place)
 {
-    std::vector<fleet_member> members;
-    std::ranges::copy_if(m_view->readyMembers, std::back_inserter(members), [&](const fleet_member &member) {
-        return member.zone == zone;
-    });
-    if (members.size() < enoughInZone) {
-        members = m_view->readyMembers;
-    }
-    if (members.empty()) {
+    const std::vector<fleet_member> entries
+        = chooseEntries(m_view->readyMembers, m_settings.zoneRegions, place, platform::mostAddresses, m_random);
+    if (entries.empty()) {
         return makeResponse(503, "{}");
     }
     std::vector<std::string> addresses;
-    for (const fleet_member &member : members) {
-        if (addresses.size() < platform::mostAddresses) {
-            addresses.push_back(toString({member.host, m_settings.traffic.port}));
-        }
+    for (const fleet_member &entry : entries) {
+        addresses.push_back(toString({entry.host, m_settings.traffic.port}));
     }
-    return platform::encodeAddressAnswer(addresses, addressLifetime);
+    return platform::encodeAddressAnswer(addresses, m_settings.bounds.addressLifetime);
 }
 
 http_response gateway_path::refuse(result_code code, milliseconds retryAfter) const
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -12,6 +12,7 @@
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/trafficsplit.h"
+#include "cardamomdeck/fleet/entrychoice.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/http/httpserver.h"
 #include "cardamomdeck/platform/platformsettings.h"
@@ -68,7 +69,7 @@
                 std::uint64_t configVersion,
                 const std::string &service,
                 double tookMs);
-    http_response answerAddresses(const std::string &zone) const;
+    http_response answerAddresses(const caller_place &place);
     http_response refuse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnread(result_code code) const;
     std::string serviceFor(const traffic_rule &rule);
