Read the two parts of the store at once, apply one without the other, and look for its return by a few

Cause, from a trial that logged each call: from 18.6 to 26 s the partition of the back ends was away while that of the configuration answered; all 116 entries repeated both reads every 0.4 to 1.6 s, and a configuration that was read was dropped with the failed half. Ruled out: records that cannot be decoded (the same offset was read afterwards). Both parts are now read at once, each is applied alone, and the view counts as fresh only when both were read. After a failed read the first five by rank keep the short pauses, the others wait 1.5 to 3 s, not longer than changes may take after a disturbance. store_lost names the part.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -78,7 +78,7 @@
     , m_directory(
           m_store,
           m_state,
-          [this](bool available) { noteStore(available); },
+          [this](bool available) { noteStore(available, "members"); },
           [this] { tellAll(m_state.notice(steady::now())); })
     , m_readTimer(context)
 {
@@ -129,18 +129,18 @@
     }
 }
 
-asio::awaitable<bool> fleet_control::readStore()
+asio::awaitable<void> fleet_control::readStore()
 {
     store_reading reading;
     reading.startedAt = steady::now();
     const time_point deadline = reading.startedAt + storeTimeout;
     const view_position before = m_state.position();
-    const bool read = co_await m_reader.read(reading, deadline);
-    noteStore(read);
-    if (!read) {
-        m_state.noteReadFailed(steady::now());
-        co_return false;
-    }
+    co_await m_reader.read(reading, deadline);
+    const bool complete = reading.configRead && reading.backendsRead;
+    noteStore(complete,
+              reading.configRead == reading.backendsRead ? "all"
+              : reading.configRead                       ? "backends"
+                                                         : "config");
     const bool changed = m_state.applyReading(reading, steady::now());
     if (changed) {
         const view_position position = m_state.position();
@@ -152,6 +152,9 @@
             .info();
         publish();
     }
+    if (!complete && !changed) {
+        co_return;
+    }
     const time_point now = steady::now();
     peer_notice news = m_state.news(before, now);
     if (const auto push = m_state.push(before, now)) {
@@ -159,13 +162,15 @@
         m_relay.spread(*push, relayGroups(m_state.members().alive(now), m_state.members().self()));
     }
     tellAll(news);
-    co_return true;
 }
 
-void fleet_control::noteStore(bool available)
+void fleet_control::noteStore(bool available, const char *part)
 {
     if (available != m_storeAvailable) {
-        log_line(available ? "store_regained" : "store_lost").add("address", toString(m_settings.store)).warn();
+        log_line(available ? "store_regained" : "store_lost")
+            .add("address", toString(m_settings.store))
+            .add("part", part)
+            .warn();
     }
     m_storeAvailable = available;
 }
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -54,13 +54,13 @@
     boost::asio::awaitable<void> learnFirstView();
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> heartbeatLoop();
-    boost::asio::awaitable<bool> readStore();
+    boost::asio::awaitable<void> readStore();
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
     void takeOver(const view_push &push);
     void tellAll(const peer_notice &notice);
     void sendHeartbeat();
-    void noteStore(bool available);
+    void noteStore(bool available, const char *part);
     void publish();
     void checkSuspension();
 
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -4,6 +4,10 @@
 
 #include "cardamomdeck/platform/recordcodec.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <tuple>
+
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
@@ -15,9 +19,11 @@
 {
 }
 
-asio::awaitable<bool> store_reader::read(store_reading &reading, time_point deadline)
+asio::awaitable<void> store_reader::read(store_reading &reading, time_point deadline)
 {
-    co_return co_await readConfig(reading, deadline) && co_await readBackends(reading, deadline);
+    using namespace asio::experimental::awaitable_operators;
+    std::tie(reading.configRead, reading.backendsRead)
+        = co_await (readConfig(reading, deadline) && readBackends(reading, deadline));
 }
 
 asio::awaitable<bool> store_reader::readConfig(store_reading &reading, time_point deadline)
--- a/daemon/gateway/storereader.h
+++ b/daemon/gateway/storereader.h
@@ -18,8 +18,8 @@
     /** Reads from @p store what is newer than @p state. */
     store_reader(platform::store_client &store, const fleet_state &state);
 
-    /** Fills @p reading; false when a call failed. Records that cannot be decoded are logged and left out. */
-    boost::asio::awaitable<bool> read(store_reading &reading, time_point deadline);
+    /** Fills @p reading by two calls at once. Records that cannot be decoded are logged and left out. */
+    boost::asio::awaitable<void> read(store_reading &reading, time_point deadline);
 
 private:
     boost::asio::awaitable<bool> readConfig(store_reading &reading, time_point deadline);
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -16,10 +16,15 @@
 
 namespace cardamomdeck {
 
-/** A read of the store that began at a time and saw everything written before it. */
+/**
+ * A read of the store that began at a time and saw everything written before it. The configuration and the back ends
+ * lie in different parts of the store, either of which may be away alone.
+ */
 struct store_reading
 {
     time_point startedAt;
+    bool configRead = true;
+    bool backendsRead = true;
     /** The newest configuration, if the read brought one. */
     std::optional<traffic_config> config;
     /** The same as the operator wrote it. */
@@ -41,12 +46,9 @@
     /** The state of the entry @p self. */
     explicit fleet_state(fleet_member self);
 
-    /** Takes over a successful read; true when the view changed. */
+    /** Takes over what was read; true when the view changed. The view is as fresh as a read of both parts. */
     bool applyReading(const store_reading &reading, time_point now);
 
-    /** Notes a read that failed at @p now. */
-    void noteReadFailed(time_point now);
-
     /** What follows from a heartbeat. */
     struct hearing
     {
@@ -130,6 +132,7 @@
 private:
     bool installConfig(traffic_config config, std::string text);
     void noteFresh(time_point at, time_point now);
+    bool applyBackends(const store_reading &reading, time_point now);
     bool fitsNotice(const std::vector<backend_record> &records) const;
     void noteAwaited(time_point now);
 
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -35,12 +35,19 @@
     /** Pause after a first failed read; doubles up to longestPause. */
     static constexpr milliseconds shortestPause{400};
     static constexpr milliseconds longestPause{1600};
+    /** Entries, first by rank, that keep these pauses, and so notice that the store has returned. */
+    static constexpr std::size_t watchers = 5;
+    /**
+     * Pause of the others, which hear of the return from the first; spread by rank, from half of it on. Not longer
+     * than the 3 s after a disturbance in which changes need not be in force yet.
+     */
+    static constexpr milliseconds otherPause{3000};
 
     /** Notes that the view was known to be complete at @p at. */
     void noteFresh(time_point at);
 
-    /** Notes a read of this entry that failed at @p now. */
-    void noteFailure(time_point now);
+    /** Notes a read that failed at @p now, of the entry of rank @p rank among @p members live ones. */
+    void noteFailure(time_point now, std::size_t rank, std::size_t members);
 
     /** Notes a read of this entry that succeeded. */
     void noteSuccess();
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -44,16 +44,28 @@
 
 bool fleet_state::applyReading(const store_reading &reading, time_point now)
 {
-    noteFresh(reading.startedAt, now);
-    m_schedule.noteSuccess();
+    if (reading.configRead && reading.backendsRead) {
+        noteFresh(reading.startedAt, now);
+        m_schedule.noteSuccess();
+    } else {
+        m_schedule.noteFailure(now, m_members.rank(now), m_members.countAlive(now));
+    }
     bool changed = false;
     if (reading.config) {
         changed = installConfig(*reading.config, reading.configText);
     }
-    m_configEnd = std::max(m_configEnd, reading.configEnd);
+    if (reading.configRead) {
+        m_configEnd = std::max(m_configEnd, reading.configEnd);
+    }
+    return (reading.backendsRead && applyBackends(reading, now)) || changed;
+}
+
+bool fleet_state::applyBackends(const store_reading &reading, time_point now)
+{
     if (reading.completeListing) {
-        return m_backends.replaceAll(reading.backends, reading.backendsEnd, now) || changed;
+        return m_backends.replaceAll(reading.backends, reading.backendsEnd, now);
     }
+    bool changed = false;
     for (const backend_record &record : reading.backends) {
         changed = m_backends.apply(record, now) || changed;
     }
@@ -61,11 +73,6 @@
     return changed;
 }
 
-void fleet_state::noteReadFailed(time_point now)
-{
-    m_schedule.noteFailure(now);
-}
-
 bool fleet_state::knows(const view_position &position) const
 {
     return m_complete && m_config->version >= position.configVersion
--- a/libs/fleet/src/readschedule.cpp
+++ b/libs/fleet/src/readschedule.cpp
@@ -9,8 +9,14 @@
     m_freshAt = std::max(m_freshAt, at);
 }
 
-void read_schedule::noteFailure(time_point now)
+void read_schedule::noteFailure(time_point now, std::size_t rank, std::size_t members)
 {
+    if (rank >= watchers) {
+        const auto later = static_cast<milliseconds::rep>(rank);
+        const auto entries = static_cast<milliseconds::rep>(std::max(rank + 1, members));
+        m_pausedUntil = now + otherPause / 2 + otherPause * later / (2 * entries);
+        return;
+    }
     m_pause = std::clamp(m_pause * 2, shortestPause, longestPause);
     m_pausedUntil = now + m_pause;
 }
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -43,6 +43,15 @@
     return value;
 }
 
+store_reading failedReading(time_point at)
+{
+    store_reading value;
+    value.startedAt = at;
+    value.configRead = false;
+    value.backendsRead = false;
+    return value;
+}
+
 peer_notice heartbeatOf(const std::string &name)
 {
     peer_notice notice;
@@ -190,9 +199,9 @@
     fleet_state entry(member("e1"));
     entry.applyReading(reading(start, 3, {}), start);
     const time_point failedAt = start + seconds(1);
-    entry.noteReadFailed(failedAt);
+    entry.applyReading(failedReading(failedAt), failedAt);
     const time_point first = entry.nextRead(failedAt);
-    entry.noteReadFailed(first);
+    entry.applyReading(failedReading(first), first);
     cr_assert_gt(entry.nextRead(first) - first, first - failedAt);
     cr_assert_leq(entry.nextRead(first) - first, read_schedule::longestPause);
 }
@@ -213,6 +222,57 @@
     cr_assert_lt(together, members / 6);
 }
 
+TestSuite(the_store_is_away);
+
+Test(the_store_is_away, a_change_of_the_configuration_is_in_force_though_the_back_ends_cannot_be_read)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    const time_point later = start + milliseconds(700);
+    store_reading half = reading(later, 4, {});
+    half.backendsRead = false;
+    cr_assert(entry.applyReading(half, later));
+    cr_assert_eq(entry.view(later)->config->version, 4);
+    cr_assert_eq(entry.view(later)->backends.at("lots").size(), 1);
+    cr_assert_eq(entry.freshAt(), start);
+}
+
+Test(the_store_is_away, a_back_end_that_leaves_gets_no_work_though_the_configuration_cannot_be_read)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    const time_point later = start + milliseconds(700);
+    store_reading half = failedReading(later);
+    half.backendsRead = true;
+    half.backends = {{"s", 1, std::nullopt}};
+    half.backendsEnd = 2;
+    cr_assert(entry.applyReading(half, later));
+    cr_assert(entry.view(later)->backends.empty());
+    cr_assert_eq(entry.view(later)->config->version, 3);
+    cr_assert_eq(entry.freshAt(), start);
+}
+
+Test(the_store_is_away, in_a_large_fleet_a_few_look_for_its_return_often_and_the_others_rarely)
+{
+    constexpr std::size_t members = 119;
+    constexpr seconds outage{8};
+    std::size_t reads = 0;
+    time_point firstAfter = time_point::max();
+    for (std::size_t rank = 0; rank < members; ++rank) {
+        read_schedule schedule;
+        schedule.noteFresh(start);
+        time_point at = schedule.nextRead(rank, members);
+        for (; at < start + outage; at = schedule.nextRead(rank, members)) {
+            schedule.noteFailure(at, rank, members);
+            ++reads;
+        }
+        firstAfter = std::min(firstAfter, at);
+        cr_assert_leq(at, start + outage + read_schedule::otherPause);
+    }
+    cr_assert_leq(reads, 5 * members);
+    cr_assert_leq(firstAfter, start + outage + milliseconds(400));
+}
+
 TestSuite(news_too_large_for_a_datagram_are_handed_on);
 
 namespace {
