Build the view of back ends only when one of them changes

Cause: each of some 600 notices about members after a start, and each heartbeat, built the view of all back ends anew and compared it: 7 ms each time on a whole core, 70 ms on the VMs there. Besides, a complete entry answered any number of starting ones at once, each with the whole view. The registry keeps the view until a server changes, views share it, and the traffic side skips what it has installed. Candidates of other zones are looked up only when they are asked. At most 8 questions are answered at the same time; the others read the store, as they do when nobody answers.

--- a/daemon/gateway/backendselection.cpp
+++ b/daemon/gateway/backendselection.cpp
@@ -119,13 +119,19 @@
     m_probed.clear();
     std::optional<backend_choice> choice;
     if (m_request.service->probesWithoutLoad < uselessProbes) {
-        std::vector<backend_traffic_ptr> ownZone = usableBackends(true);
-        std::vector<backend_traffic_ptr> otherZones = usableBackends(false);
+        std::vector<backend_traffic_ptr> candidates = usableBackends(true);
+        bool ownZone = true;
         for (const probe_round &round : probeRounds()) {
-            if (!m_cancelled && round.isNeeded(choice, describeChoice(m_request, steady::now()))) {
-                co_await collect(round.ownZone ? ownZone : otherZones, round);
-                choice = chooseProbed();
+            if (m_cancelled || !round.isNeeded(choice, describeChoice(m_request, steady::now()))) {
+                continue;
             }
+            if (ownZone != round.ownZone) {
+                // Looked up only when they are needed: there may be thousands.
+                candidates = usableBackends(round.ownZone);
+                ownZone = round.ownZone;
+            }
+            co_await collect(candidates, round);
+            choice = chooseProbed();
         }
     }
     if (!choice) {
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -32,6 +32,12 @@
 /** Largest answer in bytes: a configuration of many rules and all back ends. */
 constexpr std::size_t largestFrame = 8U * 1024U * 1024U;
 
+/**
+ * Questions that are answered at the same time. An answer to a starting entry holds the whole view, and further askers
+ * read the store sooner than they would be answered.
+ */
+constexpr std::size_t mostAnswers = 8;
+
 /** Largest heartbeat in bytes. */
 constexpr std::size_t largestDatagram = 4096;
 
@@ -148,9 +154,14 @@
         m_push(std::move(*push));
         co_return;
     }
+    if (m_answers >= mostAnswers) {
+        co_return;
+    }
+    ++m_answers;
     const time_point now = steady::now();
     const std::string reply = encode(m_state.answer(std::get<view_question>(*request), now), now);
     co_await writeFrame(stream, reply, m_bytes);
+    --m_answers;
 }
 
 asio::awaitable<std::optional<std::string>>
--- a/daemon/gateway/peerlink.h
+++ b/daemon/gateway/peerlink.h
@@ -61,6 +61,8 @@
     std::function<void(view_push)> m_push;
     std::uint16_t m_port = 0;
     std::uint64_t m_bytes = 0;
+    /** Questions that are being answered. */
+    std::size_t m_answers = 0;
 };
 
 }
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -21,6 +21,11 @@
 
 void traffic_directory::install(const fleet_view &view)
 {
+    if (view.config == m_config && view.backends == m_backends) {
+        return;
+    }
+    m_config = view.config;
+    m_backends = view.backends;
     for (const auto &[name, profile] : view.config->services) {
         service_traffic_ptr &service = m_services[name];
         if (!service) {
@@ -30,8 +35,8 @@
     }
     static const std::map<std::string, backend_server> noBackends;
     for (auto &[name, service] : m_services) {
-        const auto found = view.backends.find(name);
-        const auto &servers = found == view.backends.end() ? noBackends : found->second;
+        const auto found = view.backends->find(name);
+        const auto &servers = found == view.backends->end() ? noBackends : found->second;
         std::map<std::string, backend_traffic_ptr> next;
         for (const auto &[id, server] : servers) {
             const auto present = service->backends.find(id);
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -98,6 +98,9 @@
     repeat_limits m_limits;
     double m_probesPerBackend;
     std::map<std::string, service_traffic_ptr> m_services;
+    /** What was installed last; views often differ in their members only. */
+    traffic_config_ptr m_config;
+    backends_by_service_ptr m_backends;
 };
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -50,8 +50,8 @@
     /** Forgets servers whose time to register again is over; true when there was one. */
     bool expireLapsed(time_point now);
 
-    /** Servers that may receive work, by id. */
-    std::map<std::string, backend_server> usable() const;
+    /** Servers that may receive work; the same object until one of them changes, as fleets have thousands. */
+    backends_by_service_ptr usable() const;
 
     /** Records that changed something, with offsets from @p from on, for peers. */
     std::vector<backend_record> since(store_offset from) const;
@@ -84,6 +84,8 @@
     bool applyRemoval(entry &known, time_point now);
 
     std::map<std::string, entry> m_entries;
+    /** Null when a server has changed since it was built. */
+    mutable backends_by_service_ptr m_usable;
     store_offset m_end = 0;
     store_offset m_changedAt = 0;
     std::optional<time_point> m_holdLapsesUntil;
--- a/libs/fleet/include/cardamomdeck/fleet/backendserver.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendserver.h
@@ -8,6 +8,8 @@
 #include "cardamomdeck/base/socketaddress.h"
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace cardamomdeck {
@@ -37,10 +39,8 @@
     bool operator==(const backend_server &) const = default;
 };
 
-/** True when @p a was reported before @p b; incarnations first, then reports of one incarnation. */
-inline bool isReportedBefore(const backend_server &a, const backend_server &b)
-{
-    return a.bornMs != b.bornMs ? a.bornMs < b.bornMs : a.sequence < b.sequence;
-}
+/** Backend servers by service and id. */
+using backends_by_service = std::map<std::string, std::map<std::string, backend_server>>;
+using backends_by_service_ptr = std::shared_ptr<const backends_by_service>;
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetview.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetview.h
@@ -21,8 +21,8 @@
 {
     /** Never null; version 0 before a configuration is known. */
     traffic_config_ptr config = std::make_shared<traffic_config>();
-    /** Backend servers that may receive work, by service and id. */
-    std::map<std::string, std::map<std::string, backend_server>> backends;
+    /** Backend servers that may receive work; never null, and another object when one of them has changed. */
+    backends_by_service_ptr backends = std::make_shared<backends_by_service>();
     /** Entries that callers may use. */
     std::vector<fleet_member> readyMembers;
     /** Live entries, this one included; shares of fleet-wide budgets are divided by it. */
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -21,6 +21,9 @@
         known.changedAt = record.offset;
         m_changedAt = std::max(m_changedAt, record.offset);
     }
+    if (changed) {
+        m_usable.reset();
+    }
     return changed;
 }
 
@@ -89,22 +92,27 @@
     for (auto &[id, known] : m_entries) {
         if (known.lapsedUntil && *known.lapsedUntil <= now) {
             known.lapsedUntil.reset();
+            m_usable.reset();
             changed = true;
         }
     }
     return changed;
 }
 
-std::map<std::string, backend_server> backend_registry::usable() const
+backends_by_service_ptr backend_registry::usable() const
 {
-    std::map<std::string, backend_server> servers;
+    if (m_usable) {
+        return m_usable;
+    }
+    backends_by_service servers;
     for (const auto &[id, known] : m_entries) {
         const bool present = known.server && (!known.gone || known.lapsedUntil);
         if (present && !known.server->draining) {
-            servers.emplace(id, *known.server);
+            servers[known.server->service].emplace(id, *known.server);
         }
     }
-    return servers;
+    m_usable = std::make_shared<backends_by_service>(std::move(servers));
+    return m_usable;
 }
 
 std::vector<backend_record> backend_registry::since(store_offset from) const
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -282,9 +282,7 @@
 {
     auto view = std::make_shared<fleet_view>();
     view->config = m_config;
-    for (auto &[id, server] : m_backends.usable()) {
-        view->backends[server.service].emplace(id, server);
-    }
+    view->backends = m_backends.usable();
     view->readyMembers = m_members.ready(now);
     view->liveMembers = m_members.countAlive(now);
     return view;
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -85,7 +85,7 @@
     reader.applyReading(reading(start, 3, {backend("s", 0)}), start);
     exchange(reader, peer, start);
     cr_assert_eq(peer.view(start)->config->version, 3);
-    cr_assert_eq(peer.view(start)->backends.at("lots").size(), 1);
+    cr_assert_eq(peer.view(start)->backends->at("lots").size(), 1);
     cr_assert(peer.position() == reader.position());
 }
 
@@ -125,7 +125,7 @@
     const fleet_state::hearing heard = peer.hear(reader.news(before, later), later);
     cr_assert(heard.viewChanged);
     cr_assert_not(heard.ask);
-    cr_assert_eq(peer.view(later)->backends.at("lots").size(), 2);
+    cr_assert_eq(peer.view(later)->backends->at("lots").size(), 2);
 }
 
 Test(one_entry_reads_and_tells_the_others, changes_with_a_gap_before_them_are_asked_for)
@@ -233,7 +233,7 @@
     half.backendsRead = false;
     cr_assert(entry.applyReading(half, later));
     cr_assert_eq(entry.view(later)->config->version, 4);
-    cr_assert_eq(entry.view(later)->backends.at("lots").size(), 1);
+    cr_assert_eq(entry.view(later)->backends->at("lots").size(), 1);
     cr_assert_eq(entry.freshAt(), start);
 }
 
@@ -247,7 +247,7 @@
     half.backends = {{"s", 1, std::nullopt}};
     half.backendsEnd = 2;
     cr_assert(entry.applyReading(half, later));
-    cr_assert(entry.view(later)->backends.empty());
+    cr_assert(entry.view(later)->backends->empty());
     cr_assert_eq(entry.view(later)->config->version, 3);
     cr_assert_eq(entry.freshAt(), start);
 }
@@ -322,7 +322,7 @@
     cr_assert(peer.hear(reader.news(before, later), later).ask);
     cr_assert(peer.applyPush(*reader.push(before, later), config(4), later + milliseconds(40)));
     cr_assert(peer.position() == reader.position());
-    cr_assert_eq(peer.view(later)->backends.at("lots").size(), 20);
+    cr_assert_eq(peer.view(later)->backends->at("lots").size(), 20);
     cr_assert_geq(peer.freshAt(), readAt - milliseconds(1));
     cr_assert_leq(peer.freshAt(), readAt);
 }
@@ -342,7 +342,7 @@
     reader.applyReading(reading(readAt, 4, further), readAt);
     cr_assert(peer.applyPush(*reader.push(before, readAt), config(4), readAt));
     cr_assert_eq(peer.view(readAt)->config->version, 4);
-    cr_assert(peer.view(readAt)->backends.empty());
+    cr_assert(peer.view(readAt)->backends->empty());
     cr_assert_not(peer.knows(reader.position()));
     cr_assert_leq(peer.freshAt(), start);
 }
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -14,6 +14,8 @@
 
     def __init__(self, identity, path, entry, started):
         self.identity, self.path, self.entry, self.started = identity, path, entry, started
+        # Process that the connection leads to; a name is used again after a restart.
+        self.process = None
         self.status, self.headers, self.ended = 0, {}, 0.0
 
 
@@ -27,27 +29,29 @@
 class Caller:
     """Sends requests to one entry after the other over kept connections."""
 
-    def __init__(self, name, entries, random, told):
-        self.name, self.entries, self.random, self.told = name, entries, random, told
+    def __init__(self, name, entries, random, told, paths):
+        """Asks for what paths() names at that moment."""
+        self.name, self.entries, self.random, self.told, self.paths = name, entries, random, told, paths
         self._connections = {}
         self._numbers = itertools.count()
 
     async def run(self, until, pause):
         while time.monotonic() < until:
-            await self._send(self.random.choice(self.entries), self.random.choice(("/lots/x", "/weigh/x", "/weigh/x")))
+            await self._send(self.random.choice(self.entries), self.random.choice(self.paths()))
             await asyncio.sleep(self.random.uniform(0, pause))
-        for _, writer in self._connections.values():
+        for _, writer, _ in self._connections.values():
             writer.close()
 
     async def _send(self, entry, path):
         request = Told(f"{self.name}-{next(self._numbers)}", path, entry.name, time.monotonic())
-        method = "GET" if path.startswith("/lots") else "POST"
+        method = "POST" if path.startswith("/weigh") else "GET"
         try:
             async with asyncio.timeout(TIMEOUT + 2.0):
                 if entry.name not in self._connections:
                     host, port = entry.traffic.rsplit(":", 1)
-                    self._connections[entry.name] = await asyncio.open_connection(host, int(port))
-                reader, writer = self._connections[entry.name]
+                    process = entry.child.pid
+                    self._connections[entry.name] = *await asyncio.open_connection(host, int(port)), process
+                reader, writer, request.process = self._connections[entry.name]
                 writer.write(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request.identity}\r\n"
                              f"Deadline-Ms: {int(TIMEOUT * 1000)}\r\nContent-Length: 0\r\n\r\n".encode())
                 request.status, request.headers, _ = await read_answer(reader)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import shutil
 import signal
@@ -25,6 +26,8 @@
 
 REPORT_SECONDS = 0.5
 SETTLE_SECONDS = 6.0
+# Bounds of the pages: a change is in force, and a draining server gets nothing, after 2 s; disturbed for 3 s after a fault.
+IN_FORCE_SECONDS, DRAIN_SECONDS, CONTACT_SECONDS = 2.0, 2.0, 3.0
 BACKEND_MODES = ("ok", "refuse", "fail_fast", "answer_late", "unsealed", "cut")
 # A rule's timeout ends a request with an answer; the margin is the promised half second and the loopback's own time.
 ANSWER_SECONDS = TIMEOUT + 0.6
@@ -37,6 +40,8 @@
         self.fleet = PlatformFleet(directory, entries)
         self.version = 1
         self.told, self.faults, self.disturbed = [], [], {}
+        # Times of acknowledgements by version; (start, end) of faults of the store and of pauses; drains seen.
+        self.acknowledged, self.unstable, self.late_work = {}, [], []
         self.backends = [self.fleet.add_backend(f"s-{number}", service_ms=8) for number in range(backends)]
 
     def note(self, fault):
@@ -52,7 +57,7 @@
         reporting = asyncio.create_task(self.report_loop())
         await asyncio.to_thread(self.fleet.wait_until_serving)
         until = time.monotonic() + self.seconds
-        callers = [Caller(f"c{n}", self.fleet.entries, random.Random(n), self.told) for n in range(8)]
+        callers = [Caller(f"c{n}", self.fleet.entries, random.Random(n), self.told, self.paths) for n in range(8)]
         await asyncio.gather(self.disturb(until), *(caller.run(until + SETTLE_SECONDS, 0.05) for caller in callers))
         reporting.cancel()
         for proxy in self.proxies:
@@ -63,23 +68,47 @@
     async def report_loop(self):
         while True:
             for backend in self.backends:
-                await self.in_store(backend.report)
+                await self.in_store(backend.report, getattr(backend, "state", "ready"))
             await asyncio.sleep(REPORT_SECONDS)
 
     async def in_store(self, call, *arguments):
+        """True when the store has acknowledged; it may be down by the soak's own fault."""
         try:
             await asyncio.to_thread(call, *arguments)
         except AssertionError:
-            pass  # The store is down by the soak's own fault; the next report follows.
+            return False
+        return True
 
     def change_config(self):
         self.version += 1
-        self.fleet.store.put_config(self.version, {
+        routes = {f"v{n}": route(f"/v{n}/", timeout=TIMEOUT) for n in range(2, self.version + 1)}
+        self.fleet.store.put_config(self.version, routes | {
             "lots": route("/lots/", timeout=TIMEOUT), "weigh": route("/weigh/", kind="unsafe", timeout=TIMEOUT)})
+        self.acknowledged[self.version] = time.monotonic()
+
+    def paths(self):
+        """A request of a rule that was added lately shows which configuration an entry acts on."""
+        added = [f"/v{version}/x" for version in list(self.acknowledged)[-2:]]
+        return ["/lots/x", "/weigh/x", "/weigh/x", *added]
+
+    def was_stable(self, start, end):
+        return not any(fault_start < end and start < fault_end for fault_start, fault_end in self.unstable)
+
+    @contextlib.contextmanager
+    def instability(self):
+        """Until its end, and for a while after it, bounds of time do not hold."""
+        fault = (time.monotonic(), float("inf"))
+        self.unstable.append(fault)
+        try:
+            yield
+        finally:
+            self.unstable[self.unstable.index(fault)] = (fault[0], time.monotonic() + CONTACT_SECONDS)
 
     async def disturb(self, until):
-        kinds = (self.kill, self.terminate, self.pause, self.cut_backend, self.spoil_backend, self.store_away,
-                 self.new_config)
+        kinds = [self.kill, self.terminate, self.pause, self.cut_backend, self.spoil_backend, self.store_away,
+                 self.new_config, self.drain_backend]
+        # Few kinds at a time leave room for the bounds of time to be checked; many kinds overlap.
+        kinds = self.random.sample(kinds, self.random.randint(2, len(kinds))) + [self.new_config]
         running = set()
         while time.monotonic() < until - 1.5:
             running.add(asyncio.create_task(self.random.choice(kinds)()))
@@ -127,10 +156,11 @@
             return
         self.note(f"pause {entry.name}")
         self.disturbed[entry.name] = time.monotonic() + 60
-        entry.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.1, 2.0))
-        if entry.child.poll() is None:
-            entry.signal(signal.SIGCONT)
+        with self.instability():
+            entry.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.1, 2.0))
+            if entry.child.poll() is None:
+                entry.signal(signal.SIGCONT)
         self.disturbed[entry.name] = time.monotonic() + TIMEOUT
 
     async def cut_backend(self):
@@ -157,14 +187,55 @@
     async def store_away(self):
         mode = self.random.choice(("down", "lose_answers"))
         self.note(f"store {mode}")
-        await asyncio.to_thread(lambda: self.fleet.store.control(mode=mode))
-        await asyncio.sleep(self.random.uniform(0.2, 3.0))
-        await asyncio.to_thread(lambda: self.fleet.store.control(mode="ok"))
+        with self.instability():
+            await asyncio.to_thread(lambda: self.fleet.store.control(mode=mode))
+            await asyncio.sleep(self.random.uniform(0.2, 3.0))
+            await asyncio.to_thread(lambda: self.fleet.store.control(mode="ok"))
 
     async def new_config(self):
         self.note(f"config {self.version + 1}")
         await self.in_store(self.change_config)
 
+    async def drain_backend(self):
+        backend = self.random.choice(self.backends)
+        if getattr(backend, "state", "ready") != "ready":
+            return
+        self.note(f"drain {backend.name}")
+        backend.state = "draining"
+        if await self.in_store(backend.report, "draining"):
+            acknowledged = time.monotonic()
+            await asyncio.sleep(DRAIN_SECONDS)
+            before = await asyncio.to_thread(self.started, backend)
+            await asyncio.sleep(1.0)
+            after = await asyncio.to_thread(self.started, backend)
+            if after > before and self.was_stable(acknowledged - CONTACT_SECONDS, time.monotonic()):
+                self.late_work.append(f"{backend.name} was given {after - before} requests while it drained")
+        # It starts anew.
+        backend.born, backend.state = int(time.time() * 1000), "ready"
+
+    @staticmethod
+    def started(backend):
+        from fleet import ask
+        return ask(backend.direct, "GET", "/counts").json["started"]
+
+    def check_versions(self):
+        """Answers of an older configuration than the one that must be in force, or was acted on before."""
+        broken, seen = [], {}
+        for request in sorted(self.told, key=lambda told: told.started):
+            if not request.path.startswith("/v"):
+                continue
+            version = int(request.path[2:].split("/")[0])
+            if request.status == 200:
+                seen[request.process] = max(version, seen.get(request.process, 0))
+            if request.status != 404:
+                continue
+            due = self.acknowledged[version] + IN_FORCE_SECONDS
+            if request.started > due and self.was_stable(due - IN_FORCE_SECONDS - CONTACT_SECONDS, request.ended):
+                broken.append(f"{request.identity} met a configuration before {version} at {request.entry}")
+            if version <= seen.get(request.process, 0):
+                broken.append(f"{request.identity} met an older configuration than before at {request.entry}")
+        return broken
+
     def check(self, settled):
         """Every broken promise, as text."""
         from fleet import ask
@@ -173,7 +244,7 @@
             counts = ask(backend.direct, "GET", "/counts").json
             for identity, count in counts["runs"].items():
                 runs[identity] = runs.get(identity, 0) + count
-        broken = []
+        broken = self.late_work + self.check_versions()
         for request in self.told:
             ran = runs.get(request.identity, 0)
             if request.path.startswith("/weigh") and ran > 1:
@@ -186,7 +257,7 @@
             if request.status and request.ended - request.started > ANSWER_SECONDS \
                     and request.entry not in self.disturbed:
                 broken.append(f"{request.identity} was answered after {request.ended - request.started:.2f} s")
-            if request.status == 404:
+            if request.status == 404 and not request.path.startswith("/v"):
                 broken.append(f"{request.identity} was denied")
         late = [request for request in self.told if request.started > settled]
         served = sum(request.status == 200 for request in late)
