--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -83,7 +83,7 @@
 
 void gateway_path::install(const fleet_view_ptr &view)
 {
-    const bool newConfig = view->config != m_view->config;
+    const bool newConfig = view->config->version != m_view->config->version;
     m_view = view;
     m_directory.install(*view);
     if (!newConfig) {
