--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -221,6 +221,10 @@
 
 std::optional<view_push> fleet_state::push(const view_position &before, time_point now) const
 {
+    if (before == view_position()) {
+        // The first view of an entry is no news to others.
+        return std::nullopt;
+    }
     const bool newConfig = m_config->version > before.configVersion;
     const bool fits = !newConfig && fitsNotice(m_backends.since(before.backendsChangedAt + 1));
     if (fits || !m_members.isLarge()) {
