Spare the messages to all when entries of a large fleet start

Problem: each of some hundred entries that start together told all others of its first view and of being ready, and each of them answered: the square of the fleet's size, in the moments in which callers wait most. In a large fleet a start is told by heartbeats, which carry it on, and only entries without a view are greeted at once. Leaving is told to all as before.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -135,6 +135,7 @@
     reading.startedAt = steady::now();
     const time_point deadline = reading.startedAt + storeTimeout;
     const view_position before = m_state.position();
+    const bool first = !m_state.isComplete();
     co_await m_reader.read(reading, deadline);
     const bool complete = reading.configRead && reading.backendsRead;
     noteStore(complete,
@@ -155,6 +156,10 @@
     if (!complete && !changed) {
         co_return;
     }
+    if (first) {
+        tellOfStart();
+        co_return;
+    }
     const time_point now = steady::now();
     peer_notice news = m_state.news(before, now);
     if (const auto push = m_state.push(before, now)) {
@@ -205,8 +210,10 @@
         .add("ready", notice.sender.ready ? "true" : "false")
         .add("born_ms", notice.sender.bornMs)
         .info();
-    // A newcomer should not have to wait for the next heartbeat.
-    m_link.send(m_state.notice(now), {notice.sender.host});
+    if (!notice.age || !m_state.members().isLarge()) {
+        // A newcomer should not have to wait for the next heartbeat.
+        m_link.send(m_state.notice(now), {notice.sender.host});
+    }
     publish();
 }
 
@@ -261,12 +268,22 @@
             .info();
     }
     if (m_state.members().self().ready != readyBefore) {
-        // Callers are sent here as soon as the peers know.
-        tellAll(m_state.notice(steady::now()));
+        tellOfStart();
     }
     publish();
 }
 
+void fleet_control::tellOfStart()
+{
+    if (m_state.members().isLarge()) {
+        // Some hundred entries that start together would spend their first moments on each other's messages.
+        sendHeartbeat();
+        return;
+    }
+    // Callers are sent here as soon as the peers know.
+    tellAll(m_state.notice(steady::now()));
+}
+
 void fleet_control::tellAll(const peer_notice &notice)
 {
     std::vector<std::string> hosts;
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -59,6 +59,8 @@
     void hear(const peer_notice &notice);
     void takeOver(const view_push &push);
     void tellAll(const peer_notice &notice);
+    /** Tells peers that this entry has its first view. */
+    void tellOfStart();
     void sendHeartbeat();
     void noteStore(bool available, const char *part);
     void publish();
