Keep a leaving entry of a large fleet from being named to callers again

Problem: members tell of each other in a large fleet, and a sighting from before an entry began to shut down made it ready again at those who had heard it leave, until the next one. Found by reading; the first new test failed before, as the table took whatever came last of an incarnation. An incarnation now only moves from starting to ready to leaving, whatever the order of messages.

--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -153,7 +153,6 @@
     std::optional<awaited_view> m_awaited;
     time_point m_askMembersAfter;
     bool m_introduced = false;
-    bool m_leaving = false;
 };
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -29,6 +29,8 @@
     std::int64_t bornMs = 0;
     /** It serves callers. */
     bool ready = false;
+    /** It shuts down, and does not become ready again in this incarnation. */
+    bool leaving = false;
 
     bool operator==(const fleet_member &) const = default;
 };
@@ -64,8 +66,11 @@
     /** A table of the entry @p self. */
     explicit member_table(fleet_member self);
 
-    /** Changes whether this entry says that it serves callers. */
-    void setReady(bool ready);
+    /** This entry serves callers from now on, unless it is leaving. */
+    void setReady();
+
+    /** This entry shuts down. */
+    void startLeaving();
 
     /** This entry. */
     const fleet_member &self() const;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -29,7 +29,7 @@
     }
     m_config = std::make_shared<traffic_config>(std::move(config));
     m_configText = std::move(text);
-    m_members.setReady(!m_leaving);
+    m_members.setReady();
     return true;
 }
 
@@ -248,8 +248,7 @@
 
 void fleet_state::startLeaving()
 {
-    m_leaving = true;
-    m_members.setReady(false);
+    m_members.startLeaving();
 }
 
 time_point fleet_state::nextRead(time_point now) const
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -9,9 +9,15 @@
 {
 }
 
-void member_table::setReady(bool ready)
+void member_table::setReady()
 {
-    m_self.ready = ready;
+    m_self.ready = !m_self.leaving;
+}
+
+void member_table::startLeaving()
+{
+    m_self.leaving = true;
+    m_self.ready = false;
 }
 
 const fleet_member &member_table::self() const
@@ -26,8 +32,12 @@
     if (added) {
         entry.knownSince = now;
     }
-    if (added || member.bornMs >= entry.member.bornMs) {
+    if (added || member.bornMs > entry.member.bornMs) {
         entry.member = member;
+    } else if (member.bornMs == entry.member.bornMs) {
+        // Sightings may be older than what is known; an incarnation only moves from starting to ready to leaving.
+        entry.member.leaving = entry.member.leaving || member.leaving;
+        entry.member.ready = (entry.member.ready || member.ready) && !entry.member.leaving;
     }
     return entry;
 }
@@ -57,9 +67,10 @@
         return false;
     }
     const auto found = m_peers.find(member.name);
-    const bool news = found == m_peers.end() || !isAlive(found->second, now)
-                      || (found->second.member != member && found->second.member.bornMs <= member.bornMs);
+    const bool unheard = found == m_peers.end() || !isAlive(found->second, now);
+    const fleet_member before = found == m_peers.end() ? member : found->second.member;
     peer &entry = update(member, now);
+    const bool news = unheard || entry.member != before;
     entry.heardAt = now;
     entry.everHeard = true;
     return news;
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -15,7 +15,7 @@
 /** Arrays instead of objects keep heartbeats small. */
 json toJson(const fleet_member &member)
 {
-    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready});
+    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready, member.leaving});
 }
 
 fleet_member memberFromJson(const json &fields)
@@ -24,7 +24,8 @@
             fields.at(1).get<std::string>(),
             fields.at(2).get<std::string>(),
             fields.at(3).get<std::int64_t>(),
-            fields.at(4).get<bool>()};
+            fields.at(4).get<bool>(),
+            fields.at(5).get<bool>()};
 }
 
 json toJson(const view_position &position)
--- a/libs/fleet/tests/membertabletest.cpp
+++ b/libs/fleet/tests/membertabletest.cpp
@@ -177,3 +177,42 @@
     peer.heard(member("e2", 5000), start);
     cr_assert_not(peer.heard(member("e2", 3000), start + milliseconds(400)));
 }
+
+TestSuite(a_member_leaves_a_large_fleet);
+
+Test(a_member_leaves_a_large_fleet, older_sightings_do_not_make_it_ready_again)
+{
+    member_table table(member("e1"));
+    const fleet_member ready = member("e2");
+    fleet_member leaving = ready;
+    leaving.ready = false;
+    leaving.leaving = true;
+    table.heard(ready, start);
+    cr_assert(table.heard(leaving, start + milliseconds(100)));
+    table.sighted(ready, start + milliseconds(50), start + milliseconds(200));
+    cr_assert_eq(table.ready(start + milliseconds(200)).size(), 1);
+    cr_assert_not(table.heard(ready, start + milliseconds(300)));
+    cr_assert_eq(table.ready(start + milliseconds(300)).size(), 1);
+}
+
+Test(a_member_leaves_a_large_fleet, older_sightings_of_a_start_do_not_make_a_ready_one_unready)
+{
+    member_table table(member("e1"));
+    fleet_member starting = member("e2");
+    starting.ready = false;
+    table.heard(starting, start);
+    table.heard(member("e2"), start + milliseconds(100));
+    table.sighted(starting, start, start + milliseconds(200));
+    cr_assert_eq(table.ready(start + milliseconds(200)).size(), 2);
+}
+
+Test(a_member_leaves_a_large_fleet, its_next_start_is_ready)
+{
+    member_table table(member("e1"));
+    fleet_member leaving = member("e2", 100);
+    leaving.ready = false;
+    leaving.leaving = true;
+    table.heard(leaving, start);
+    table.heard(member("e2", 200), start + milliseconds(900));
+    cr_assert_eq(table.ready(start + milliseconds(900)).size(), 2);
+}
