Do not ask a starting entry for all back ends because it listed them later

Cause: a listing names the newest record of each server, mostly a report that changes nothing. An entry that listed later claimed a later last change, and every entry that heard it asked it for all back ends. An entry now knows a position when it has read past it; a sender says while its last change is only the bound of a listing, which is no reason to ask; and answers hold what is newer than the asker has read.

--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -56,9 +56,18 @@
     /** Records that changed something, with offsets from @p from on, for peers. */
     std::vector<backend_record> since(store_offset from) const;
 
-    /** Offset of the last record that changed something. */
+    /** Offset of the last record that changed something; after a first listing at most that, see isListed(). */
     store_offset changedAt() const;
 
+    /**
+     * True while no change has followed the first listing. A listing names the newest record of each server, which
+     * may be a report that changed nothing, so that entries that listed at different times differ in changedAt().
+     */
+    bool isListed() const;
+
+    /** True when no record up to offset @p offset, that one included, is new. */
+    bool knows(store_offset offset) const;
+
     /** Offset up to which all records have been applied. */
     store_offset end() const;
 
@@ -88,6 +97,7 @@
     mutable backends_by_service_ptr m_usable;
     store_offset m_end = 0;
     store_offset m_changedAt = 0;
+    bool m_listed = false;
     std::optional<time_point> m_holdLapsesUntil;
 };
 
--- a/libs/fleet/include/cardamomdeck/fleet/peernotice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -58,6 +58,8 @@
     std::optional<backend_changes> changes;
     /** What is new at this position is on its way through other entries. */
     bool relayed = false;
+    /** The position of the last change is an upper bound, see backend_registry::isListed(). */
+    bool listed = false;
 
     bool operator==(const peer_notice &) const = default;
 };
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -20,6 +20,7 @@
     if (changed || known.lapsedUntil) {
         known.changedAt = record.offset;
         m_changedAt = std::max(m_changedAt, record.offset);
+        m_listed = false;
     }
     if (changed) {
         m_usable.reset();
@@ -67,6 +68,7 @@
 bool backend_registry::replaceAll(const std::vector<backend_record> &listing, store_offset end, time_point now)
 {
     std::set<std::string> listed;
+    const bool first = m_entries.empty();
     bool changed = false;
     for (const backend_record &record : listing) {
         listed.insert(record.id);
@@ -78,9 +80,20 @@
         }
     }
     advanceTo(end);
+    m_listed = first || (m_listed && !changed);
     return changed;
 }
 
+bool backend_registry::knows(store_offset offset) const
+{
+    return offset < m_end || offset <= m_changedAt;
+}
+
+bool backend_registry::isListed() const
+{
+    return m_listed;
+}
+
 void backend_registry::noteStoreReturned(time_point now)
 {
     m_holdLapsesUntil = now + lapseHold;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -75,8 +75,7 @@
 
 bool fleet_state::knows(const view_position &position) const
 {
-    return m_complete && m_config->version >= position.configVersion
-           && m_backends.changedAt() >= position.backendsChangedAt;
+    return m_complete && m_config->version >= position.configVersion && m_backends.knows(position.backendsChangedAt);
 }
 
 fleet_state::hearing fleet_state::hear(const peer_notice &notice, time_point now)
@@ -90,12 +89,16 @@
     if (!notice.age) {
         return result;
     }
-    if (m_complete && notice.changes && m_backends.changedAt() >= notice.changes->after) {
+    if (m_complete && notice.changes && m_backends.knows(notice.changes->after)) {
         for (const backend_record &record : notice.changes->records) {
             result.viewChanged = m_backends.apply(record, now) || result.viewChanged;
         }
     }
-    if (!knows(notice.position)) {
+    const bool unknown = !knows(notice.position);
+    const bool newConfig = notice.position.configVersion > m_config->version;
+    // Mostly nothing is new in a listing; the entry's own reads, and those of others, go past its position soon.
+    const bool onlyListed = m_complete && notice.listed && !newConfig;
+    if (unknown && !onlyListed) {
         m_awaited = {notice.position, now - *notice.age};
         result.ask = true;
         return result;
@@ -105,6 +108,9 @@
         m_askMembersAfter = now + membersAskPause;
     }
     result.ask = !m_introduced || lacksMembers;
+    if (unknown) {
+        return result;
+    }
     noteFresh(now - *notice.age, now);
     m_configEnd = std::max(m_configEnd, notice.position.configEnd);
     m_backends.advanceTo(notice.position.backendsEnd);
@@ -129,7 +135,7 @@
         changed = installConfig(std::move(*config), *push.news.config);
     }
     // With a gap before them, the records would pass for everything up to their position.
-    if (m_complete && m_backends.changedAt() >= push.after.backendsChangedAt) {
+    if (m_complete && m_backends.knows(push.after.backendsChangedAt)) {
         for (const backend_record &record : push.news.backends) {
             changed = m_backends.apply(record, now) || changed;
         }
@@ -173,7 +179,8 @@
     if (m_config->version > question.position.configVersion) {
         answer.config = m_configText;
     }
-    answer.backends = m_backends.since(question.position.backendsChangedAt);
+    answer.backends
+        = m_backends.since(std::max(question.position.backendsChangedAt, question.position.backendsEnd));
     answer.members = m_members.alive(now);
     return answer;
 }
@@ -183,6 +190,7 @@
     peer_notice notice;
     notice.sender = m_members.self();
     notice.position = position();
+    notice.listed = m_backends.isListed();
     notice.liveMembers = m_members.countAlive(now);
     if (m_complete) {
         notice.age = std::chrono::ceil<milliseconds>(now - m_schedule.freshAt());
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -172,8 +172,14 @@
         changes.push_back(recordsToJson(notice.changes->records, now));
     }
     const json age = notice.age ? json(notice.age->count()) : json();
-    return pack(json::array(
-        {toJson(notice.sender), toJson(notice.position), age, notice.liveMembers, sightings, changes, notice.relayed}));
+    return pack(json::array({toJson(notice.sender),
+                             toJson(notice.position),
+                             age,
+                             notice.liveMembers,
+                             sightings,
+                             changes,
+                             notice.relayed,
+                             notice.listed}));
 }
 
 std::string encode(const view_question &question)
@@ -209,6 +215,7 @@
             notice.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
         }
         notice.relayed = fields.at(6).get<bool>();
+        notice.listed = fields.at(7).get<bool>();
         return notice;
     });
 }
