--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -179,8 +179,7 @@
     if (m_config->version > question.position.configVersion) {
         answer.config = m_configText;
     }
-    answer.backends
-        = m_backends.since(std::max(question.position.backendsChangedAt, question.position.backendsEnd));
+    answer.backends = m_backends.since(std::max(question.position.backendsChangedAt, question.position.backendsEnd));
     answer.members = m_members.alive(now);
     return answer;
 }
