--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -20,10 +20,10 @@
 READY_SECONDS = 15
 
 
-def free_port():
+def free_port(host="127.0.0.1"):
     """A port that was free a moment ago."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -112,7 +112,8 @@
     def __init__(self, directory, entries=2, seeds=("127.0.1.1",)):
         self.directory, self.seeds = directory, seeds
         self.store = Store(directory)
-        self.ports = [free_port() for _ in range(4)] + [free_port()]
+        # Free at the address of an entry: fleets that run side by side use the same addresses.
+        self.ports = [free_port("127.0.1.1") for _ in range(5)]
         self.backends = {}
         self.entries = []
         for number in range(entries):
