Send configurations between entries as compressed changes, and choose readers by what their VM can bear

Rules are indexed by host and prefix, shared instead of copied.

Readers come by processor and link, then by name: the first by name had a tenth of a core and 10 Mbit/s.

Found by reading, each with a test that failed first: an entry that had restarted took a late report of a server that had left before for a new one; and it began with a peer's view however old, so that what had been withdrawn was in use again while the store would have answered.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -60,7 +60,9 @@
 
 fleet_member makeSelf(const platform::platform_settings &settings)
 {
-    return {settings.vmName, settings.zone, settings.host, unixMilliseconds(), false};
+    fleet_member self{settings.vmName, settings.zone, settings.host, unixMilliseconds()};
+    self.readCapacity = reportsPerSecond(settings.resources.cores, settings.resources.linkMbps);
+    return self;
 }
 
 }
@@ -220,12 +222,7 @@
 void fleet_control::takeOver(const view_push &push)
 {
     m_relay.spread(push, splitEvenly(push.hosts));
-    std::optional<traffic_config> config;
-    if (push.news.config) {
-        config = decodeOrLog(
-            "record_rejected", platform::configKey, [&] { return platform::decodeConfig(*push.news.config); });
-    }
-    if (m_state.applyPush(push, std::move(config), steady::now())) {
+    if (m_state.applyPush(push, receiveConfig(push.news), steady::now())) {
         log_line("view_changed")
             .add("source", "relay")
             .add("config", m_state.position().configVersion)
@@ -235,6 +232,24 @@
     }
 }
 
+std::optional<config_source> fleet_control::receiveConfig(const view_answer &news)
+{
+    if (!news.config) {
+        return std::nullopt;
+    }
+    const auto text = decodeOrLog(
+        "config_change_rejected", platform::configKey, [&] { return m_state.restoreConfig(*news.config); });
+    if (!text || !*text) {
+        return std::nullopt;
+    }
+    auto config
+        = decodeOrLog("record_rejected", platform::configKey, [&] { return platform::decodeConfig(**text); });
+    if (!config) {
+        return std::nullopt;
+    }
+    return config_source{std::move(*config), **text};
+}
+
 asio::awaitable<void> fleet_control::askPeer(peer_notice notice)
 {
     if (notice.relayed) {
@@ -246,17 +261,13 @@
         }
     }
     const time_point askedAt = steady::now();
-    const view_question question{m_state.position()};
+    const view_question question = m_state.question();
     const auto answer = co_await m_link.ask(notice.sender.host, question);
     m_asking = false;
     if (!answer) {
         co_return;
     }
-    std::optional<traffic_config> config;
-    if (answer->config) {
-        config = decodeOrLog(
-            "record_rejected", platform::configKey, [&] { return platform::decodeConfig(*answer->config); });
-    }
+    std::optional<config_source> config = receiveConfig(*answer);
     const bool readyBefore = m_state.members().self().ready;
     if (m_state.applyAnswer(*answer, std::move(config), notice.age, askedAt, steady::now())) {
         log_line("view_changed")
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -58,6 +58,8 @@
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
     void takeOver(const view_push &push);
+    /** The configuration of @p news, if it is newer; what cannot be restored or decoded is logged. */
+    std::optional<config_source> receiveConfig(const view_answer &news);
     void tellAll(const peer_notice &notice);
     /** Tells peers that this entry has its first view. */
     void tellOfStart();
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -10,7 +10,7 @@
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
-#include "cardamomdeck/fleet/trafficconfig.h"
+#include "cardamomdeck/fleet/ruletable.h"
 #include "cardamomdeck/http/httpconnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -36,7 +36,7 @@
 {
     http_request message;
     std::string id;
-    traffic_rule rule;
+    traffic_rule_ptr rule;
     service_traffic_ptr service;
     /** Most urgent priority among the rules of the service. */
     std::uint32_t mostUrgentPriority = 0;
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -91,10 +91,10 @@
     }
     const caller_limits &limits = view->config->limits;
     m_traffic.setLimits({limits.headBytes, limits.bodyBytes}, limits.headTimeout, limits.idleTimeout);
-    std::erase_if(m_splits, [&view](const auto &item) {
-        const auto &rules = view->config->rules;
-        const auto rule = std::ranges::find(rules, item.first, &traffic_rule::name);
-        return rule == rules.end() || rule->services != item.second.services();
+    m_rules = rule_table(view->config);
+    std::erase_if(m_splits, [this](const auto &item) {
+        const traffic_rule *const rule = m_rules.named(item.first);
+        return rule == nullptr || rule->services != item.second.services();
     });
     log_line("config_installed").add("config", view->config->version).add("rules", view->config->rules.size()).info();
 }
@@ -188,37 +188,24 @@
     return position->second.next();
 }
 
-std::uint32_t gateway_path::mostUrgentPriority(const std::string &service) const
-{
-    std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
-    for (const traffic_rule &rule : m_view->config->rules) {
-        const bool serves
-            = std::ranges::find(rule.services, service, &weighted_service::service) != rule.services.end();
-        if (serves) {
-            priority = std::min(priority, rule.priority);
-        }
-    }
-    return priority;
-}
-
 asio::awaitable<http_response> gateway_path::handle(http_request &request, http_session &session)
 {
     const time_point arrival = steady::now();
-    const traffic_config_ptr config = m_view->config;
-    if (config->version == 0 || m_refusing) {
-        co_return refuse(config->version == 0 ? result_code::view_stale : result_code::overloaded, unreadyPause);
+    const std::uint64_t version = m_view->config->version;
+    if (version == 0 || m_refusing) {
+        co_return refuse(version == 0 ? result_code::view_stale : result_code::overloaded, unreadyPause);
     }
-    const traffic_rule *const rule = matchTrafficRule(*config, hostOf(request), pathOf(request));
-    if (rule == nullptr) {
+    const traffic_rule_ptr rule = m_rules.find(hostOf(request), pathOf(request));
+    if (!rule) {
         log_line("request_unmatched")
             .add("host", hostOf(request))
             .add("path", pathOf(request))
-            .add("config", config->version)
+            .add("config", version)
             .info();
         co_return refuse(result_code::route_unknown, unreadyPause);
     }
     ++m_requestsInHand;
-    http_response response = co_await forward(request, session, *rule, arrival);
+    http_response response = co_await forward(request, session, rule, arrival);
     --m_requestsInHand;
     co_return response;
 }
@@ -233,7 +220,7 @@
     const bool answered = outcome.code == result_code::ok;
     log_line line("request");
     line.add("id", run.request().id)
-        .add("rule", run.request().rule.name)
+        .add("rule", run.request().rule->name)
         .add("config", configVersion)
         .add("service", service)
         .add("outcome", infoOf(outcome.code).name)
@@ -256,10 +243,10 @@
 }
 
 asio::awaitable<http_response>
-gateway_path::forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival)
+gateway_path::forward(http_request &request, http_session &session, traffic_rule_ptr rule, time_point arrival)
 {
     const platform::caller_request caller = platform::decodeCaller(request);
-    const std::string service = serviceFor(rule);
+    const std::string service = serviceFor(*rule);
     const std::uint64_t version = m_view->config->version;
     forwarded_request forwarded;
     forwarded.service = m_directory.find(service);
@@ -273,10 +260,10 @@
     forwarded.message.prepare_payload();
     forwarded.id = caller.requestId;
     forwarded.rule = rule;
-    forwarded.mostUrgentPriority = mostUrgentPriority(service);
+    forwarded.mostUrgentPriority = m_rules.mostUrgentPriority(service);
     forwarded.liveMembers = m_view->liveMembers;
     forwarded.arrival = arrival;
-    forwarded.deadline = arrival + std::min(rule.timeout, caller.patience.value_or(rule.timeout));
+    forwarded.deadline = arrival + std::min(rule->timeout, caller.patience.value_or(rule->timeout));
     const auto run = std::make_shared<request_forwarding>(m_forwarding, std::move(forwarded));
     forwarding_outcome outcome = co_await run->run(session);
     record(*run, outcome, version, service, toMilliseconds(steady::now() - arrival));
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -14,6 +14,7 @@
 #include "cardamomdeck/dispatch/trafficsplit.h"
 #include "cardamomdeck/fleet/entrychoice.h"
 #include "cardamomdeck/fleet/fleetview.h"
+#include "cardamomdeck/fleet/ruletable.h"
 #include "cardamomdeck/http/httpserver.h"
 #include "cardamomdeck/platform/platformsettings.h"
 
@@ -63,7 +64,7 @@
     boost::asio::awaitable<http_response> handle(http_request &request, http_session &session);
     boost::asio::awaitable<http_response> answerQuestion(http_request &request);
     boost::asio::awaitable<http_response>
-    forward(http_request &request, http_session &session, const traffic_rule &rule, time_point arrival);
+    forward(http_request &request, http_session &session, traffic_rule_ptr rule, time_point arrival);
     void record(const request_forwarding &run,
                 const forwarding_outcome &outcome,
                 std::uint64_t configVersion,
@@ -73,7 +74,6 @@
     http_response refuse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnread(result_code code) const;
     std::string serviceFor(const traffic_rule &rule);
-    std::uint32_t mostUrgentPriority(const std::string &service) const;
 
     const platform::platform_settings &m_settings;
     random_source m_random;
@@ -85,6 +85,7 @@
     http_server m_readiness;
     http_server m_resolver;
     fleet_view_ptr m_view;
+    rule_table m_rules;
     request_history m_history;
     /** Splits of the rules, by name; a changed split starts anew. */
     std::map<std::string, traffic_split> m_splits;
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -29,8 +29,8 @@
 /** Longest time until a peer confirms news; a live one takes some 20 ms on a small VM. */
 constexpr milliseconds pushTimeout{200};
 
-/** Largest answer in bytes: a configuration of many rules and all back ends. */
-constexpr std::size_t largestFrame = 8U * 1024U * 1024U;
+/** Largest compressed message in bytes: a configuration of many rules and all back ends. */
+constexpr std::size_t largestFrame = 2U * 1024U * 1024U;
 
 /**
  * Questions that are answered at the same time. An answer to a starting entry holds the whole view, and further askers
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -84,11 +84,11 @@
 
 time_point request_forwarding::hedgeAt() const
 {
-    const bool possible = m_request.rule.repeat == repeat_policy::idempotent && !m_hedged && m_live.size() == 1;
+    const bool possible = m_request.rule->repeat == repeat_policy::idempotent && !m_hedged && m_live.size() == 1;
     if (!possible) {
         return time_point::max();
     }
-    const double objectiveMs = toMilliseconds(m_request.rule.latencyObjective);
+    const double objectiveMs = toMilliseconds(m_request.rule->latencyObjective);
     const double lateMs = std::max(lateFactor * m_expectedMs, latePart * objectiveMs);
     return m_live.front().startedAt
            + std::chrono::round<nanoseconds>(std::chrono::duration<double, std::milli>(lateMs));
@@ -110,7 +110,7 @@
     const std::optional<backend_choice> choice = chosen ? std::optional(chosen->choice) : std::nullopt;
     const choice_request wanted = describeChoice(m_request, steady::now());
     const admission_decision decision
-        = admit(choice, wanted, m_request.rule.priority, m_request.mostUrgentPriority, m_context.random);
+        = admit(choice, wanted, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
     if (!decision.admitted || wanted.deadlineMs < shortestAttemptMs) {
         if (chosen) {
             m_selection.giveBack(*chosen);
@@ -140,7 +140,7 @@
 asio::awaitable<connection_ptr> request_forwarding::openConnection(backend_traffic_ptr backend)
 {
     const time_point now = steady::now();
-    const milliseconds proof = m_request.rule.repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
+    const milliseconds proof = m_request.rule->repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
     connection_ptr connection = m_context.pool.takeIdle(backend->server.id, now - proof);
     if (!connection) {
         connection = co_await m_context.prober.connect(backend, std::min(m_request.deadline, now + connectTimeout));
@@ -203,13 +203,13 @@
         fail(*backend, result_code::connect_failed, false, ++m_connectFailures <= mostConnectFailures);
         return;
     }
-    fail(*backend, result.code, true, m_request.rule.repeat == repeat_policy::idempotent && mayRepeat());
+    fail(*backend, result.code, true, m_request.rule->repeat == repeat_policy::idempotent && mayRepeat());
 }
 
 void request_forwarding::noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt)
 {
     const time_point now = steady::now();
-    const bool idempotent = m_request.rule.repeat == repeat_policy::idempotent;
+    const bool idempotent = m_request.rule->repeat == repeat_policy::idempotent;
     switch (platform::classifyAnswer(result.response, m_request.id)) {
     case platform::answer_kind::genuine:
         break;
@@ -250,13 +250,13 @@
     const double workMs = tookMs / std::max(1.0, m_lastLoad->pace);
     service_traffic &service = *m_request.service;
     service.workMs.add(workMs);
-    service.ruleWorkMs.try_emplace(m_request.rule.name, service_traffic::sampleWeight).first->second.add(workMs);
+    service.ruleWorkMs.try_emplace(m_request.rule->name, service_traffic::sampleWeight).first->second.add(workMs);
 }
 
 bool request_forwarding::mayRepeat()
 {
     const time_point now = steady::now();
-    if (m_attempts >= m_request.rule.mostAttempts || toMilliseconds(m_request.deadline - now) < shortestAttemptMs) {
+    if (m_attempts >= m_request.rule->mostAttempts || toMilliseconds(m_request.deadline - now) < shortestAttemptMs) {
         return false;
     }
     if (!m_request.service->repeats.take(now, m_request.liveMembers)) {
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -46,9 +46,8 @@
             continue;
         }
         auto config = decodeOrLog("record_rejected", item.key, [&] { return platform::decodeConfig(*item.value); });
-        if (config && (!reading.config || config->version > reading.config->version)) {
-            reading.config = std::move(config);
-            reading.configText = *item.value;
+        if (config && (!reading.config || config->version > reading.config->config.version)) {
+            reading.config = {std::move(*config), *item.value};
         }
     }
     co_return true;
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -53,9 +53,11 @@
     answer_too_large = 403,
     connection_lost = 404,
     caller_gone = 405,
+    internal_error = 406,
 
     frame_malformed = 500,
     frame_too_large = 501,
+    base_unknown = 502,
 };
 
 /** One row of the result code table. */
--- a/libs/base/src/resultcode.cpp
+++ b/libs/base/src/resultcode.cpp
@@ -57,8 +57,10 @@
      502,
      "The connection failed after sending began."},
     {result_code::caller_gone, "caller_gone", outcome::unknown, 499, "The caller closed its connection."},
+    {result_code::internal_error, "internal_error", outcome::unknown, 502, "An unexpected error ended the handling."},
     {result_code::frame_malformed, "frame_malformed", outcome::not_run, 500, "A message between entries is invalid."},
     {result_code::frame_too_large, "frame_too_large", outcome::not_run, 500, "A message between entries is too large."},
+    {result_code::base_unknown, "base_unknown", outcome::not_run, 500, "A change is based on an unknown version."},
 });
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "cardamomdeck/fleet/backendregistry.h"
+#include "cardamomdeck/fleet/confighistory.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/fleet/membertable.h"
 #include "cardamomdeck/fleet/peernotice.h"
@@ -26,9 +27,7 @@
     bool configRead = true;
     bool backendsRead = true;
     /** The newest configuration, if the read brought one. */
-    std::optional<traffic_config> config;
-    /** The same as the operator wrote it. */
-    std::string configText;
+    std::optional<config_source> config;
     store_offset configEnd = 0;
     std::vector<backend_record> backends;
     store_offset backendsEnd = 0;
@@ -52,7 +51,10 @@
     /** What follows from a heartbeat. */
     struct hearing
     {
-        /** The sender knows more than this entry, and should be asked. */
+        /**
+         * The sender knows more than this entry, and should be asked. An entry that starts does not ask for a view as
+         * old as in an outage, which may name what has been withdrawn since, unless it cannot read the store itself.
+         */
         bool ask = false;
         /** Something about the sender changed. */
         bool memberChanged = false;
@@ -67,13 +69,22 @@
 
     /** Takes over a peer's answer to a question that was asked at @p askedAt; true when the view changed. */
     bool applyAnswer(const view_answer &answer,
-                     std::optional<traffic_config> config,
+                     std::optional<config_source> config,
                      std::optional<milliseconds> age,
                      time_point askedAt,
                      time_point now);
 
+    /** The question for what is newer than this view. */
+    view_question question() const;
+
     /** Answers a peer's question. */
-    view_answer answer(const view_question &question, time_point now) const;
+    view_answer answer(const view_question &question, time_point now);
+
+    /**
+     * The text of a configuration that a peer sent, or nothing when it is not newer than the known one. After an error
+     * the next question asks for it whole. Errors: as config_history::restore().
+     */
+    boost::leaf::result<std::optional<std::string>> restoreConfig(const config_transfer &transfer);
 
     /** How much is known and how old it is, at @p now. */
     peer_notice notice(time_point now) const;
@@ -88,10 +99,10 @@
     peer_notice news(const view_position &before, time_point now) const;
 
     /** What is new after @p before, when it must be handed on because news() cannot carry it to a large fleet. */
-    std::optional<view_push> push(const view_position &before, time_point now) const;
+    std::optional<view_push> push(const view_position &before, time_point now);
 
     /** Takes over news that were handed on; true when the view changed. */
-    bool applyPush(const view_push &push, std::optional<traffic_config> config, time_point now);
+    bool applyPush(const view_push &push, std::optional<config_source> config, time_point now);
 
     /** True when nothing at @p position is new. */
     bool knows(const view_position &position) const;
@@ -130,11 +141,12 @@
     const member_table &members() const;
 
 private:
-    bool installConfig(traffic_config config, std::string text);
+    bool installConfig(config_source source);
     void noteFresh(time_point at, time_point now);
     bool applyBackends(const store_reading &reading, time_point now);
     bool fitsNotice(const std::vector<backend_record> &records) const;
     void noteAwaited(time_point now);
+    bool mayStartFrom(milliseconds age) const;
 
     /** A newer view that was announced, and when it was known to be complete. */
     struct awaited_view
@@ -147,9 +159,13 @@
     backend_registry m_backends;
     read_schedule m_schedule;
     traffic_config_ptr m_config = std::make_shared<traffic_config>();
-    std::string m_configText;
+    config_history m_configTexts;
+    /** A change could not be applied; the configuration is asked for whole. */
+    bool m_wholeConfigWanted = false;
     store_offset m_configEnd = 0;
     bool m_complete = false;
+    /** A read of the store has failed since the start. */
+    bool m_readFailed = false;
     std::optional<awaited_view> m_awaited;
     time_point m_askMembersAfter;
     bool m_introduced = false;
--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -31,10 +31,15 @@
     bool ready = false;
     /** It shuts down, and does not become ready again in this incarnation. */
     bool leaving = false;
+    /** See reportsPerSecond(); 0 until the member has said it. */
+    std::uint32_t readCapacity = 0;
 
     bool operator==(const fleet_member &) const = default;
 };
 
+/** True when @p a takes a duty for the fleet before @p b: members with more capacity first, then by name. */
+bool comesBefore(const fleet_member &a, const fleet_member &b);
+
 /** A member, and how long ago it was heard. */
 struct member_sighting
 {
@@ -117,7 +122,7 @@
     /** True when the fleet is too large for heartbeats between all members. */
     bool isLarge() const;
 
-    /** Number of live members whose names come before this entry's. */
+    /** Number of live members that come before this entry, see comesBefore(). */
     std::size_t rank(time_point now) const;
 
 private:
--- a/libs/fleet/include/cardamomdeck/fleet/peernotice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/peernotice.h
@@ -7,6 +7,7 @@
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/fleet/backendregistry.h"
+#include "cardamomdeck/fleet/confighistory.h"
 #include "cardamomdeck/fleet/membertable.h"
 
 #include <boost/leaf/result.hpp>
@@ -76,8 +77,8 @@
 struct view_answer
 {
     view_position position;
-    /** The configuration as the operator wrote it, if it is newer. */
-    std::optional<std::string> config;
+    /** The configuration, if it is newer. */
+    std::optional<config_transfer> config;
     std::vector<backend_record> backends;
     std::vector<fleet_member> members;
 
@@ -102,13 +103,17 @@
 
 /** Deadlines are sent as what is left at @p now. */
 std::string encode(const peer_notice &notice, time_point now);
-/** @copydoc encode */
+/** @copydoc encode; compressed. */
 std::string encode(const view_answer &answer, time_point now);
+/** Compressed. */
 std::string encode(const view_question &question);
-/** @copydoc encode */
+/** @copydoc encode; compressed. */
 std::string encode(const view_push &push, time_point now);
 
-/** Errors: frame_malformed. */
+/** Largest message in bytes before compression: all back ends of a large fleet. */
+inline constexpr std::size_t largestPeerMessage = 8U * 1024U * 1024U;
+
+/** Errors: frame_malformed, and frame_too_large for what exceeds largestPeerMessage uncompressed. */
 boost::leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now);
 /** @copydoc decodeNotice */
 boost::leaf::result<peer_request> decodeRequest(std::string_view message, time_point now);
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -7,9 +7,16 @@
 #include "cardamomdeck/base/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace cardamomdeck {
 
+/**
+ * Reports of backend servers that a VM with @p cores processor cores and a link of @p linkMbps could take in a second
+ * if it did nothing else: what decides who reads for a fleet with thousands of them.
+ */
+std::uint32_t reportsPerSecond(double cores, double linkMbps);
+
 /**
  * Readers are not elected. Every entry may read once its view is older than a
  * limit that grows with its rank among the live entries. The first by rank
--- a/libs/fleet/include/cardamomdeck/fleet/trafficconfig.h
+++ b/libs/fleet/include/cardamomdeck/fleet/trafficconfig.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace cardamomdeck {
@@ -85,9 +84,13 @@
     bool operator==(const traffic_config &) const = default;
 };
 
-using traffic_config_ptr = std::shared_ptr<const traffic_config>;
+/** A configuration and its text as the operator wrote it. */
+struct config_source
+{
+    traffic_config config;
+    std::string text;
+};
 
-/** The rule of @p host with the longest prefix of @p path, or null. Host names are compared without a port. */
-const traffic_rule *matchTrafficRule(const traffic_config &config, std::string_view host, std::string_view path);
+using traffic_config_ptr = std::shared_ptr<const traffic_config>;
 
 }
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -11,7 +11,8 @@
     if (found != m_entries.end() && record.offset < found->second.offset) {
         return false;
     }
-    if (found == m_entries.end() && !record.server) {
+    // Up to its end the view is complete: a server that it lacks there has left, whoever still reports it.
+    if (found == m_entries.end() && (!record.server || record.offset < m_end)) {
         return false;
     }
     entry &known = m_entries[record.id];
--- /dev/null
+++ b/libs/fleet/src/confighistory.cpp
@@ -0,0 +1,49 @@
+#include "cardamomdeck/fleet/confighistory.h"
+
+#include "cardamomdeck/base/compression.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace cardamomdeck {
+
+namespace leaf = boost::leaf;
+
+void config_history::add(std::uint64_t version, std::string text)
+{
+    m_texts.insert_or_assign(version, std::move(text));
+    while (m_texts.size() > keptVersions) {
+        m_texts.erase(m_texts.begin());
+    }
+    m_transfers.clear();
+}
+
+const config_transfer &config_history::transferFrom(std::uint64_t known)
+{
+    static const config_transfer nothing;
+    if (m_texts.empty()) {
+        return nothing;
+    }
+    const auto &[version, text] = *m_texts.rbegin();
+    const auto base = m_texts.find(known);
+    const bool change = base != m_texts.end() && known < version;
+    const auto [position, added] = m_transfers.try_emplace(change ? known : 0);
+    if (added) {
+        position->second = {version, position->first, compress(text, change ? base->second : std::string())};
+    }
+    return position->second;
+}
+
+leaf::result<std::string> config_history::restore(const config_transfer &transfer) const
+{
+    if (transfer.base == 0) {
+        return decompress(transfer.bytes, largestText);
+    }
+    const auto base = m_texts.find(transfer.base);
+    if (base == m_texts.end()) {
+        return leaf::new_error(
+            failure{result_code::base_unknown, "no text of version " + std::to_string(transfer.base)});
+    }
+    return decompress(transfer.bytes, largestText, base->second);
+}
+
+}
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -4,6 +4,8 @@
 
 namespace cardamomdeck {
 
+namespace leaf = boost::leaf;
+
 namespace {
 
 /** Members and changes in one datagram of at most 1400 bytes; one takes some 60 and 150 bytes. */
@@ -22,13 +24,14 @@
 {
 }
 
-bool fleet_state::installConfig(traffic_config config, std::string text)
+bool fleet_state::installConfig(config_source source)
 {
-    if (config.version <= m_config->version) {
+    if (source.config.version <= m_config->version) {
         return false;
     }
-    m_config = std::make_shared<traffic_config>(std::move(config));
-    m_configText = std::move(text);
+    m_configTexts.add(source.config.version, std::move(source.text));
+    m_config = std::make_shared<traffic_config>(std::move(source.config));
+    m_wholeConfigWanted = false;
     m_members.setReady();
     return true;
 }
@@ -48,11 +51,12 @@
         noteFresh(reading.startedAt, now);
         m_schedule.noteSuccess();
     } else {
+        m_readFailed = true;
         m_schedule.noteFailure(now, m_members.rank(now), m_members.countAlive(now));
     }
     bool changed = false;
     if (reading.config) {
-        changed = installConfig(*reading.config, reading.configText);
+        changed = installConfig(*reading.config);
     }
     if (reading.configRead) {
         m_configEnd = std::max(m_configEnd, reading.configEnd);
@@ -78,6 +82,11 @@
     return m_complete && m_config->version >= position.configVersion && m_backends.knows(position.backendsChangedAt);
 }
 
+bool fleet_state::mayStartFrom(milliseconds age) const
+{
+    return m_complete || m_readFailed || age <= outageAge;
+}
+
 fleet_state::hearing fleet_state::hear(const peer_notice &notice, time_point now)
 {
     hearing result;
@@ -86,7 +95,7 @@
     for (const member_sighting &sighting : notice.sightings) {
         m_members.sighted(sighting.member, now - sighting.age, now);
     }
-    if (!notice.age) {
+    if (!notice.age || !mayStartFrom(*notice.age)) {
         return result;
     }
     if (m_complete && notice.changes && m_backends.knows(notice.changes->after)) {
@@ -128,11 +137,11 @@
     m_awaited.reset();
 }
 
-bool fleet_state::applyPush(const view_push &push, std::optional<traffic_config> config, time_point now)
+bool fleet_state::applyPush(const view_push &push, std::optional<config_source> config, time_point now)
 {
     bool changed = false;
-    if (config && push.news.config) {
-        changed = installConfig(std::move(*config), *push.news.config);
+    if (config) {
+        changed = installConfig(std::move(*config));
     }
     // With a gap before them, the records would pass for everything up to their position.
     if (m_complete && m_backends.knows(push.after.backendsChangedAt)) {
@@ -145,7 +154,7 @@
 }
 
 bool fleet_state::applyAnswer(const view_answer &answer,
-                              std::optional<traffic_config> config,
+                              std::optional<config_source> config,
                               std::optional<milliseconds> age,
                               time_point askedAt,
                               time_point now)
@@ -158,8 +167,8 @@
         noteFresh(askedAt - *age, now);
     }
     bool changed = false;
-    if (config && answer.config) {
-        changed = installConfig(std::move(*config), *answer.config);
+    if (config) {
+        changed = installConfig(std::move(*config));
     }
     for (const backend_record &record : answer.backends) {
         changed = m_backends.apply(record, now) || changed;
@@ -172,12 +181,34 @@
     return changed;
 }
 
-view_answer fleet_state::answer(const view_question &question, time_point now) const
+view_question fleet_state::question() const
+{
+    view_question question{position()};
+    if (m_wholeConfigWanted) {
+        question.position.configVersion = 0;
+    }
+    return question;
+}
+
+leaf::result<std::optional<std::string>> fleet_state::restoreConfig(const config_transfer &transfer)
+{
+    if (transfer.version <= m_config->version) {
+        return std::optional<std::string>();
+    }
+    leaf::result<std::string> text = m_configTexts.restore(transfer);
+    if (!text) {
+        m_wholeConfigWanted = true;
+        return text.error();
+    }
+    return std::optional<std::string>(std::move(*text));
+}
+
+view_answer fleet_state::answer(const view_question &question, time_point now)
 {
     view_answer answer;
     answer.position = position();
     if (m_config->version > question.position.configVersion) {
-        answer.config = m_configText;
+        answer.config = m_configTexts.transferFrom(question.position.configVersion);
     }
     answer.backends = m_backends.since(std::max(question.position.backendsChangedAt, question.position.backendsEnd));
     answer.members = m_members.alive(now);
@@ -226,7 +257,7 @@
     return news;
 }
 
-std::optional<view_push> fleet_state::push(const view_position &before, time_point now) const
+std::optional<view_push> fleet_state::push(const view_position &before, time_point now)
 {
     if (before == view_position()) {
         // The first view of an entry is no news to others.
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -4,6 +4,11 @@
 
 namespace cardamomdeck {
 
+bool comesBefore(const fleet_member &a, const fleet_member &b)
+{
+    return a.readCapacity != b.readCapacity ? a.readCapacity > b.readCapacity : a.name < b.name;
+}
+
 member_table::member_table(fleet_member self)
     : m_self(std::move(self))
 {
@@ -38,6 +43,7 @@
         // Sightings may be older than what is known; an incarnation only moves from starting to ready to leaving.
         entry.member.leaving = entry.member.leaving || member.leaving;
         entry.member.ready = (entry.member.ready || member.ready) && !entry.member.leaving;
+        entry.member.readCapacity = std::max(entry.member.readCapacity, member.readCapacity);
     }
     return entry;
 }
@@ -128,7 +134,8 @@
 bool member_table::isReporter(time_point now) const
 {
     const auto earlier = std::ranges::count_if(m_peers, [&](const auto &item) {
-        return item.second.member.zone == m_self.zone && item.first < m_self.name && isAlive(item.second, now);
+        const fleet_member &member = item.second.member;
+        return member.zone == m_self.zone && comesBefore(member, m_self) && isAlive(item.second, now);
     });
     return static_cast<std::size_t>(earlier) < reportersPerZone;
 }
@@ -222,7 +229,7 @@
 std::size_t member_table::rank(time_point now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-        m_peers, [&](const auto &item) { return item.first < m_self.name && isAlive(item.second, now); }));
+        m_peers, [&](const auto &item) { return comesBefore(item.second.member, m_self) && isAlive(item.second, now); }));
 }
 
 }
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -1,5 +1,7 @@
 #include "cardamomdeck/fleet/peernotice.h"
 
+#include "cardamomdeck/base/compression.h"
+
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
@@ -15,7 +17,7 @@
 /** Arrays instead of objects keep heartbeats small. */
 json toJson(const fleet_member &member)
 {
-    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready, member.leaving});
+    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready, member.leaving, member.readCapacity});
 }
 
 fleet_member memberFromJson(const json &fields)
@@ -25,7 +27,8 @@
             fields.at(2).get<std::string>(),
             fields.at(3).get<std::int64_t>(),
             fields.at(4).get<bool>(),
-            fields.at(5).get<bool>()};
+            fields.at(5).get<bool>(),
+            fields.at(6).get<std::uint32_t>()};
 }
 
 json toJson(const view_position &position)
@@ -103,6 +106,25 @@
     return records;
 }
 
+json toJson(const std::optional<config_transfer> &config)
+{
+    if (!config) {
+        return json::array();
+    }
+    return json::array(
+        {config->version, config->base, json::binary({config->bytes.begin(), config->bytes.end()})});
+}
+
+std::optional<config_transfer> configFromJson(const json &fields)
+{
+    if (fields.empty()) {
+        return std::nullopt;
+    }
+    const auto &bytes = fields.at(2).get_binary();
+    return config_transfer{
+        fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>(), {bytes.begin(), bytes.end()}};
+}
+
 /** First field of what is sent over a connection. */
 enum class request_kind {
     question = 0,
@@ -116,16 +138,14 @@
         members.push_back(toJson(member));
     }
     return json::array(
-        {toJson(answer.position), answer.config.value_or(std::string()), recordsToJson(answer.backends, now), members});
+        {toJson(answer.position), toJson(answer.config), recordsToJson(answer.backends, now), members});
 }
 
 view_answer answerFromJson(const json &fields, time_point now)
 {
     view_answer answer;
     answer.position = positionFromJson(fields.at(0));
-    if (auto config = fields.at(1).get<std::string>(); !config.empty()) {
-        answer.config = std::move(config);
-    }
+    answer.config = configFromJson(fields.at(1));
     answer.backends = recordsFromJson(fields.at(2), now);
     for (const json &member : fields.at(3)) {
         answer.members.push_back(memberFromJson(member));
@@ -184,17 +204,17 @@
 
 std::string encode(const view_question &question)
 {
-    return pack(json::array({request_kind::question, toJson(question.position)}));
+    return compress(pack(json::array({request_kind::question, toJson(question.position)})));
 }
 
 std::string encode(const view_push &push, time_point now)
 {
-    return pack(json::array({request_kind::push, toJson(push.after), toJson(push.news, now), push.hosts}));
+    return compress(pack(json::array({request_kind::push, toJson(push.after), toJson(push.news, now), push.hosts})));
 }
 
 std::string encode(const view_answer &answer, time_point now)
 {
-    return pack(toJson(answer, now));
+    return compress(pack(toJson(answer, now)));
 }
 
 leaf::result<peer_notice> decodeNotice(std::string_view message, time_point now)
@@ -222,7 +242,8 @@
 
 leaf::result<peer_request> decodeRequest(std::string_view message, time_point now)
 {
-    return unpack(message, [now](const json &fields) -> peer_request {
+    BOOST_LEAF_AUTO(plain, decompress(message, largestPeerMessage));
+    return unpack(plain, [now](const json &fields) -> peer_request {
         switch (fields.at(0).get<request_kind>()) {
         case request_kind::question:
             return view_question{positionFromJson(fields.at(1))};
@@ -235,7 +256,8 @@
 
 leaf::result<view_answer> decodeAnswer(std::string_view message, time_point now)
 {
-    return unpack(message, [now](const json &fields) { return answerFromJson(fields, now); });
+    BOOST_LEAF_AUTO(plain, decompress(message, largestPeerMessage));
+    return unpack(plain, [now](const json &fields) { return answerFromJson(fields, now); });
 }
 
 }
--- a/libs/fleet/src/readschedule.cpp
+++ b/libs/fleet/src/readschedule.cpp
@@ -4,6 +4,24 @@
 
 namespace cardamomdeck {
 
+namespace {
+
+/** Processor time and size of one report, from a profile of an entry that reads. */
+constexpr double microsecondsPerReport = 10.0;
+constexpr double bitsPerReport = 2800.0;
+
+constexpr double mostReports = 1e9;
+
+}
+
+std::uint32_t reportsPerSecond(double cores, double linkMbps)
+{
+    constexpr double million = 1e6;
+    const double byProcessor = cores * million / microsecondsPerReport;
+    const double byLink = linkMbps * million / bitsPerReport;
+    return static_cast<std::uint32_t>(std::clamp(std::min(byProcessor, byLink), 0.0, mostReports));
+}
+
 void read_schedule::noteFresh(time_point at)
 {
     m_freshAt = std::max(m_freshAt, at);
--- /dev/null
+++ b/libs/fleet/src/ruletable.cpp
@@ -0,0 +1,72 @@
+#include "cardamomdeck/fleet/ruletable.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace cardamomdeck {
+
+rule_table::rule_table()
+    : rule_table(std::make_shared<traffic_config>())
+{
+}
+
+rule_table::rule_table(traffic_config_ptr config)
+    : m_config(std::move(config))
+{
+    for (const traffic_rule &rule : m_config->rules) {
+        host_rules &rules = m_hosts[absl::AsciiStrToLower(rule.host)];
+        rules.byPrefix.try_emplace(rule.pathPrefix, &rule);
+        rules.prefixLengths.push_back(rule.pathPrefix.size());
+        m_names.try_emplace(rule.name, &rule);
+        for (const weighted_service &part : rule.services) {
+            const auto [priority, added] = m_priorities.try_emplace(part.service, rule.priority);
+            priority->second = std::min(priority->second, rule.priority);
+        }
+    }
+    for (auto &[host, rules] : m_hosts) {
+        std::ranges::sort(rules.prefixLengths, std::greater());
+        const auto repeated = std::ranges::unique(rules.prefixLengths);
+        rules.prefixLengths.erase(repeated.begin(), repeated.end());
+    }
+}
+
+const traffic_config_ptr &rule_table::config() const
+{
+    return m_config;
+}
+
+traffic_rule_ptr rule_table::find(std::string_view host, std::string_view path) const
+{
+    const std::string_view hostName = host.substr(0, host.find(':'));
+    const auto found = m_hosts.find(absl::AsciiStrToLower({hostName.data(), hostName.size()}));
+    if (found == m_hosts.end()) {
+        return nullptr;
+    }
+    for (const std::size_t length : found->second.prefixLengths) {
+        if (length > path.size()) {
+            continue;
+        }
+        const auto rule = found->second.byPrefix.find(path.substr(0, length));
+        if (rule != found->second.byPrefix.end()) {
+            return {m_config, rule->second};
+        }
+    }
+    return nullptr;
+}
+
+const traffic_rule *rule_table::named(std::string_view name) const
+{
+    const auto found = m_names.find(name);
+    return found == m_names.end() ? nullptr : found->second;
+}
+
+std::uint32_t rule_table::mostUrgentPriority(std::string_view service) const
+{
+    const auto found = m_priorities.find(service);
+    return found == m_priorities.end() ? std::numeric_limits<std::uint32_t>::max() : found->second;
+}
+
+}
--- a/libs/fleet/tests/backendregistrytest.cpp
+++ b/libs/fleet/tests/backendregistrytest.cpp
@@ -197,3 +197,15 @@
     cr_assert_neq(registry.usable(), known);
     cr_assert_eq(known->size(), 1);
 }
+
+TestSuite(an_entry_has_restarted);
+
+Test(an_entry_has_restarted, a_late_report_of_a_server_that_left_before_does_not_bring_it_back)
+{
+    backend_registry registry;
+    registry.replaceAll({report(20, makeServer("t", 10, 9))}, 100, start);
+    cr_assert_not(registry.apply(report(85, makeServer("s", 10, 7)), start));
+    cr_assert_eq(usableIn(registry).count("s"), 0);
+    cr_assert(registry.apply(report(100, makeServer("s", 30, 1)), start));
+    cr_assert_eq(usableIn(registry).count("s"), 1);
+}
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -13,11 +13,15 @@
     return {name, "a", "10.0.0." + name.substr(1), 100, false};
 }
 
-traffic_config config(std::uint64_t version)
+config_source config(std::uint64_t version)
 {
-    traffic_config value;
-    value.version = version;
-    return value;
+    config_source source;
+    source.config.version = version;
+    source.text = "v" + std::to_string(version);
+    for (int rule = 0; rule < 50; ++rule) {
+        source.text += " rule " + std::to_string(rule * 7919);
+    }
+    return source;
 }
 
 backend_record backend(const std::string &id, store_offset offset)
@@ -36,7 +40,6 @@
     store_reading value;
     value.startedAt = at;
     value.config = config(version);
-    value.configText = "v" + std::to_string(version);
     value.configEnd = version;
     value.backendsEnd = backends.empty() ? 0 : backends.back().offset + 1;
     value.backends = std::move(backends);
@@ -66,8 +69,8 @@
     if (!to.hear(notice, now).ask) {
         return;
     }
-    const view_answer answer = from.answer({to.position()}, now);
-    std::optional<traffic_config> newer;
+    const view_answer answer = from.answer(to.question(), now);
+    std::optional<config_source> newer;
     if (answer.config) {
         newer = config(answer.position.configVersion);
     }
@@ -166,7 +169,7 @@
     entry.applyReading(reading(start, 5, {}), start);
     cr_assert_not(entry.applyReading(reading(start, 4, {}), start));
     view_answer stale;
-    stale.config = "v4";
+    stale.config = {4, 0, "v4"};
     stale.position.configVersion = 4;
     entry.applyAnswer(stale, config(4), milliseconds(0), start, start);
     cr_assert_eq(entry.view(start)->config->version, 5);
@@ -448,6 +451,59 @@
     cr_assert(entry.view(start)->readyMembers.empty());
 }
 
+TestSuite(an_entry_has_restarted_beside_a_peer_that_was_cut_off);
+
+Test(an_entry_has_restarted_beside_a_peer_that_was_cut_off, the_peers_old_view_is_not_taken_while_the_store_answers)
+{
+    fleet_state cutOff(member("e1"));
+    cutOff.applyReading(reading(start, 3, {backend("left", 0)}), start);
+    fleet_state restarted(member("e2"));
+    const time_point now = start + seconds(30);
+    cr_assert_not(restarted.hear(cutOff.notice(now), now).ask);
+    restarted.applyReading(reading(now, 7, {}), now);
+    cr_assert_eq(restarted.view(now)->config->version, 7);
+    cr_assert(restarted.view(now)->backends->empty());
+}
+
+Test(an_entry_has_restarted_beside_a_peer_that_was_cut_off, the_peers_old_view_serves_when_nobody_reaches_the_store)
+{
+    fleet_state cutOff(member("e1"));
+    cutOff.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    fleet_state restarted(member("e2"));
+    const time_point now = start + seconds(30);
+    restarted.applyReading(failedReading(now), now);
+    cr_assert(restarted.hear(cutOff.notice(now), now).ask);
+}
+
+TestSuite(a_change_of_the_configuration_cannot_be_applied);
+
+Test(a_change_of_the_configuration_cannot_be_applied, the_view_stays_and_the_whole_is_asked_for)
+{
+    fleet_state sender(member("e1"));
+    sender.applyReading(reading(start, 3, {}), start);
+    sender.applyReading(reading(start, 4, {}), start);
+    fleet_state receiver(member("e2"));
+    store_reading other = reading(start, 3, {});
+    other.config->text += " written by somebody else";
+    receiver.applyReading(other, start);
+    const view_answer change = sender.answer(receiver.question(), start);
+    cr_assert_eq(change.config->base, 3);
+    cr_assert_not(receiver.restoreConfig(*change.config));
+    cr_assert_eq(receiver.view(start)->config->version, 3);
+    const view_answer whole = sender.answer(receiver.question(), start);
+    cr_assert_eq(whole.config->base, 0);
+    cr_assert(*receiver.restoreConfig(*whole.config).value() == config(4).text);
+}
+
+Test(a_change_of_the_configuration_cannot_be_applied, a_known_version_is_not_restored_again)
+{
+    fleet_state sender(member("e1"));
+    sender.applyReading(reading(start, 4, {}), start);
+    fleet_state receiver(member("e2"));
+    receiver.applyReading(reading(start, 4, {}), start);
+    cr_assert_not(receiver.restoreConfig(*sender.answer({}, start).config).value().has_value());
+}
+
 TestSuite(messages_between_entries);
 
 Test(messages_between_entries, keep_their_content)
--- a/libs/fleet/tests/membertabletest.cpp
+++ b/libs/fleet/tests/membertabletest.cpp
@@ -1,5 +1,5 @@
 #include "cardamomdeck/fleet/membertable.h"
-#include "cardamomdeck/fleet/trafficconfig.h"
+#include "cardamomdeck/fleet/readschedule.h"
 
 #include <criterion/criterion.h>
 
@@ -127,23 +127,6 @@
     cr_assert_eq(tables.front().alive(now).size(), tables.size() - 1);
 }
 
-TestSuite(rules_match_requests);
-
-Test(rules_match_requests, the_longest_prefix_of_the_host_wins)
-{
-    traffic_config config;
-    traffic_rule longer;
-    longer.host = "mill.example";
-    longer.pathPrefix = "/lots/old/";
-    traffic_rule shorter = longer;
-    shorter.pathPrefix = "/lots/";
-    config.rules = {longer, shorter};
-    cr_assert_eq(matchTrafficRule(config, "mill.example", "/lots/old/1"), &config.rules[0]);
-    cr_assert_eq(matchTrafficRule(config, "MILL.example:80", "/lots/1"), &config.rules[1]);
-    cr_assert_null(matchTrafficRule(config, "other.example", "/lots/1"));
-    cr_assert_null(matchTrafficRule(config, "mill.example", "/lot"));
-}
-
 TestSuite(the_time_of_day_was_set_back_between_two_starts);
 
 Test(the_time_of_day_was_set_back_between_two_starts, the_later_start_is_told_and_then_believed)
@@ -216,3 +199,37 @@
     table.heard(member("e2", 200), start + milliseconds(900));
     cr_assert_eq(table.ready(start + milliseconds(900)).size(), 2);
 }
+
+TestSuite(somebody_reads_for_a_fleet_of_unequal_machines);
+
+Test(somebody_reads_for_a_fleet_of_unequal_machines, a_machine_with_more_processor_and_link_comes_first)
+{
+    constexpr double smallLink = 10;
+    constexpr double largeLink = 200;
+    fleet_member small = member("a-small");
+    small.readCapacity = reportsPerSecond(0.1, smallLink);
+    fleet_member large = member("z-large");
+    large.readCapacity = reportsPerSecond(0.5, largeLink);
+    cr_assert(comesBefore(large, small));
+    member_table ofSmall(small);
+    ofSmall.heard(large, start);
+    cr_assert_eq(ofSmall.rank(start), 1);
+    member_table ofLarge(large);
+    ofLarge.heard(small, start);
+    cr_assert_eq(ofLarge.rank(start), 0);
+}
+
+Test(somebody_reads_for_a_fleet_of_unequal_machines, equal_ones_come_by_name)
+{
+    cr_assert(comesBefore(member("e1"), member("e2")));
+    cr_assert_not(comesBefore(member("e2"), member("e1")));
+}
+
+Test(somebody_reads_for_a_fleet_of_unequal_machines, the_scarcer_of_processor_and_link_counts)
+{
+    cr_assert_eq(reportsPerSecond(0.1, 1000), reportsPerSecond(0.1, 100));
+    cr_assert_eq(reportsPerSecond(0.5, 10), reportsPerSecond(8, 10));
+    // 3000 back ends report 2000 times a second: a link of 10 Mbit/s bears that hardly, one of 200 easily.
+    cr_assert_lt(reportsPerSecond(0.5, 10), 4000);
+    cr_assert_gt(reportsPerSecond(0.5, 200), 20'000);
+}
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-packages=(libboost1.81-dev libabsl-dev liblog4cplus-dev libcriterion-dev nlohmann-json3-dev libsimdjson-dev libtomlplusplus-dev
+packages=(libboost1.81-dev libabsl-dev liblog4cplus-dev libcriterion-dev nlohmann-json3-dev libsimdjson-dev libtomlplusplus-dev libzstd-dev
     pkg-config ninja-build cmake g++ python3 clang-format clang-tidy)
 if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
     apt-get update -qq
