Contain exceptions in the task they leave, and bound what bodies and answers without end may take

At a stop, connections that nobody had accepted yet, and requests in the socket that nobody had read, were reset.

Tasks and loops run under one guard that logs task_failed; a request whose handler failed is answered 502 (unknown), a loop starts anew, counters are guards. Bodies of requests and answers draw from 15 % of the VM's memory, large ones only from three quarters of that; new requests are refused (memory_short) while 60 % are in use. An exchange skips 16 answers at most. At a stop what waits is accepted and answered first.

--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -1,11 +1,10 @@
 #include "backendprober.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -150,7 +149,8 @@
     const auto results = std::make_shared<round>(m_context);
     results->pending = backends.size();
     for (const backend_traffic_ptr &backend : backends) {
-        asio::co_spawn(m_context, probeOne(service, backend, results), asio::detached);
+        startTask(
+            m_context, "probe", [this, service, backend, results] { return probeOne(service, backend, results); });
     }
     const time_point patient = steady::now() + patience;
     while (results->pending > 0) {
--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -2,13 +2,12 @@
 
 #include "decodeorlog.h"
 
+#include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/platform/recordcodec.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -94,12 +93,9 @@
     if (code != result_code::ok) {
         return code;
     }
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await readLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await m_directory.run(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await heartbeatLoop(); }, asio::detached);
+    startLoop(m_context, "reading", [this] { return readLoop(); });
+    startLoop(m_context, "member_directory", [this] { return m_directory.run(); });
+    startLoop(m_context, "heartbeat", [this] { return heartbeatLoop(); });
     return code;
 }
 
@@ -107,7 +103,7 @@
 {
     const time_point begun = steady::now();
     while (!m_state.isComplete()) {
-        const milliseconds patience = m_asking ? firstViewPatience : peerPatience;
+        const milliseconds patience = m_asking > 0 ? firstViewPatience : peerPatience;
         if (steady::now() >= begun + patience) {
             co_await readStore();
             co_return;
@@ -186,9 +182,9 @@
 {
     const time_point now = steady::now();
     const fleet_state::hearing heard = m_state.hear(notice, now);
-    if (heard.ask && !m_asking) {
-        m_asking = true;
-        asio::co_spawn(m_context, askPeer(notice), asio::detached);
+    if (heard.ask && m_asking == 0) {
+        const auto asking = std::make_shared<count_guard<unsigned>>(m_asking);
+        startTask(m_context, "view_question", [this, notice, asking] { return askPeer(notice); });
     }
     if (heard.viewChanged) {
         log_line("view_changed")
@@ -242,8 +238,7 @@
     if (!text || !*text) {
         return std::nullopt;
     }
-    auto config
-        = decodeOrLog("record_rejected", platform::configKey, [&] { return platform::decodeConfig(**text); });
+    auto config = decodeOrLog("record_rejected", platform::configKey, [&] { return platform::decodeConfig(**text); });
     if (!config) {
         return std::nullopt;
     }
@@ -256,14 +251,12 @@
         const double spread = randomUnit(m_random) * static_cast<double>(relaySpread.count());
         co_await sleepUntil(steady::now() + relayPatience + milliseconds(static_cast<milliseconds::rep>(spread)));
         if (m_state.knows(notice.position)) {
-            m_asking = false;
             co_return;
         }
     }
     const time_point askedAt = steady::now();
     const view_question question = m_state.question();
     const auto answer = co_await m_link.ask(notice.sender.host, question);
-    m_asking = false;
     if (!answer) {
         co_return;
     }
@@ -357,8 +350,7 @@
 void fleet_control::startLeaving()
 {
     m_state.startLeaving();
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await m_directory.withdraw(); }, asio::detached);
+    startTask(m_context, "withdrawal", [this] { return m_directory.withdraw(); });
     tellAll(m_state.notice(steady::now()));
     publish();
 }
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -81,7 +81,8 @@
     boost::asio::steady_timer m_readTimer;
     fleet_view_ptr m_published;
     std::optional<nanoseconds> m_suspendedTotal;
-    bool m_asking = false;
+    /** Questions to peers that are under way; one at a time. */
+    unsigned m_asking = 0;
     bool m_storeAvailable = true;
 };
 
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -8,6 +8,7 @@
 #include "connectionpool.h"
 #include "servicetraffic.h"
 
+#include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
 #include "cardamomdeck/fleet/ruletable.h"
@@ -28,6 +29,8 @@
     connection_pool &pool;
     backend_prober &prober;
     random_source &random;
+    /** Memory of the bodies of all requests and answers. */
+    byte_budget &memory;
     std::string zone;
 };
 
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -1,11 +1,9 @@
 #include "gatewaydaemon.h"
 
 #include "cardamomdeck/base/logline.h"
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -70,16 +68,14 @@
         log_line("entry_not_started").add("code", infoOf(result_code::port_in_use).name).warn();
         return exitPortInUse;
     }
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await watchSettings(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await awaitSignal(); }, asio::detached);
+    startLoop(m_context, "settings", [this] { return watchSettings(); });
+    startLoop(m_context, "signals", [this] { return awaitSignal(); });
     log_line("entry_started")
         .add("entry", m_settings.vmName)
         .add("zone", m_settings.zone)
         .add("traffic", toString(m_settings.traffic))
         .info();
-    m_context.run();
+    runContext(m_context, "entry");
     log_line("entry_stopped").add("entry", m_settings.vmName).add("store_calls", m_control.storeCalls()).info();
     return 0;
 }
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -1,5 +1,6 @@
 #include "gatewaypath.h"
 
+#include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 #include "cardamomdeck/platform/ingresscodec.h"
@@ -21,9 +22,25 @@
 /** Pause that callers are asked for while this entry cannot serve them. */
 constexpr milliseconds unreadyPause{100};
 
-server_options trafficOptions(std::function<http_response(result_code)> rejection)
+/**
+ * Part of the VM's memory for the bodies of requests and answers. A body is held twice while it is handed on, and
+ * growing texts take up to half as much again.
+ */
+constexpr double bodyPart = 0.15;
+
+/** Part of that in use above which new requests are refused, so that those in hand find room for their answers. */
+constexpr double refusedAbove = 0.6;
+
+/** Part of the descriptors for callers; the others are for back ends, peers, the store and files. */
+constexpr double callerPart = 0.6;
+
+server_options trafficOptions(const platform::vm_resources &resources,
+                              byte_budget &memory,
+                              std::function<http_response(result_code)> rejection)
 {
     server_options options;
+    options.budget = &memory;
+    options.maxConnections = static_cast<std::size_t>(callerPart * static_cast<double>(resources.descriptors));
     options.limits.bodyBytes = 64ULL * 1024 * 1024;
     options.idleTimeout = milliseconds(15'000);
     options.pipelineDepth = pipelineDepth;
@@ -49,16 +66,17 @@
 gateway_path::gateway_path(asio::io_context &traffic, const platform::platform_settings &settings)
     : m_settings(settings)
     , m_random(std::random_device()())
+    , m_memory(static_cast<std::size_t>(bodyPart * static_cast<double>(settings.resources.memoryBytes)))
     , m_pool(traffic.get_executor())
     , m_prober(traffic, m_pool)
-    , m_forwarding{traffic, m_pool, m_prober, m_random, settings.zone}
+    , m_forwarding{traffic, m_pool, m_prober, m_random, m_memory, settings.zone}
     , m_directory(settings.vmName,
                   {settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retryReserve},
                   settings.bounds.probesPerSecond)
     , m_traffic(
           traffic.get_executor(),
           [this](http_request &request, http_session &session) { return handle(request, session); },
-          trafficOptions([this](result_code code) { return rejectUnread(code); }))
+          trafficOptions(settings.resources, m_memory, [this](result_code code) { return rejectUnread(code); }))
     , m_readiness(
           traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
     , m_resolver(
@@ -125,6 +143,11 @@
     return m_traffic.connectionCount();
 }
 
+const byte_budget &gateway_path::memory() const
+{
+    return m_memory;
+}
+
 const std::map<std::string, service_traffic_ptr> &gateway_path::services() const
 {
     return m_directory.services();
@@ -204,10 +227,18 @@
             .info();
         co_return refuse(result_code::route_unknown, unreadyPause);
     }
-    ++m_requestsInHand;
-    http_response response = co_await forward(request, session, rule, arrival);
-    --m_requestsInHand;
-    co_return response;
+    if (m_memory.isAbove(refusedAbove)) {
+        log_line("request_refused")
+            .add("id", platform::decodeCaller(request).requestId)
+            .add("rule", rule->name)
+            .add("code", infoOf(result_code::memory_short).name)
+            .add("bytes_in_use", m_memory.used())
+            .add("bytes_limit", m_memory.limit())
+            .warn();
+        co_return refuse(result_code::memory_short, unreadyPause);
+    }
+    const count_guard inHand(m_requestsInHand);
+    co_return co_await forward(request, session, rule, arrival);
 }
 
 void gateway_path::record(const request_forwarding &run,
@@ -255,7 +286,7 @@
     }
     removeHopByHopHeaders(request);
     request.erase(boost::beast::http::field::expect);
-    forwarded.message = request;
+    forwarded.message = std::move(request);
     forwarded.message.keep_alive(true);
     forwarded.message.prepare_payload();
     forwarded.id = caller.requestId;
@@ -270,6 +301,7 @@
     if (outcome.code != result_code::ok) {
         co_return refuse(outcome.code, outcome.retryAfter);
     }
+    session.holdUntilWritten(std::move(outcome.memory));
     removeHopByHopHeaders(outcome.response);
     outcome.response.prepare_payload();
     outcome.response.keep_alive(true);
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -10,6 +10,7 @@
 #include "requesthistory.h"
 #include "servicetraffic.h"
 
+#include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/trafficsplit.h"
 #include "cardamomdeck/fleet/entrychoice.h"
@@ -54,6 +55,9 @@
     /** Open connections of callers. */
     std::size_t callerConnections() const;
 
+    /** Memory of the bodies of requests and answers. */
+    const byte_budget &memory() const;
+
     /** Services and their backend servers. */
     const std::map<std::string, service_traffic_ptr> &services() const;
 
@@ -77,6 +81,7 @@
 
     const platform::platform_settings &m_settings;
     random_source m_random;
+    byte_budget m_memory;
     connection_pool m_pool;
     backend_prober m_prober;
     forwarding_context m_forwarding;
--- a/daemon/gateway/newsrelay.cpp
+++ b/daemon/gateway/newsrelay.cpp
@@ -1,9 +1,7 @@
 #include "newsrelay.h"
 
 #include "cardamomdeck/base/logline.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "cardamomdeck/http/tasks.h"
 
 namespace cardamomdeck {
 
@@ -18,7 +16,7 @@
 void news_relay::spread(const view_push &push, const std::vector<relay_group> &groups)
 {
     for (const relay_group &group : groups) {
-        asio::co_spawn(m_context, handTo(push, group), asio::detached);
+        startTask(m_context, "news", [this, push, group] { return handTo(push, group); });
     }
 }
 
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -2,12 +2,11 @@
 
 #include "decodeorlog.h"
 
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/base/countguard.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/http/framing.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -72,10 +71,8 @@
     if (code != result_code::ok) {
         return code;
     }
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await receiveLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await acceptLoop(); }, asio::detached);
+    startLoop(m_context, "peer_datagrams", [this] { return receiveLoop(); });
+    startLoop(m_context, "peer_connections", [this] { return acceptLoop(); });
     return code;
 }
 
@@ -130,7 +127,8 @@
             co_return;
         }
         if (!error) {
-            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+            const auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+            startTask(m_context, "peer_request", [this, accepted] { return serve(std::move(*accepted)); });
         }
     }
 }
@@ -157,11 +155,10 @@
     if (m_answers >= mostAnswers) {
         co_return;
     }
-    ++m_answers;
+    const count_guard answering(m_answers);
     const time_point now = steady::now();
     const std::string reply = encode(m_state.answer(std::get<view_question>(*request), now), now);
     co_await writeFrame(stream, reply, m_bytes);
-    --m_answers;
 }
 
 asio::awaitable<std::optional<std::string>>
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -1,11 +1,11 @@
 #include "requestforwarding.h"
 
+#include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/dispatch/admission.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -129,12 +129,9 @@
     m_expectedMs = chosen->choice.expectedMs;
     const std::uint32_t number = m_attempts;
     m_live.push_back({number, chosen->backend, nullptr, steady::now()});
-    asio::co_spawn(
-        m_context.context,
-        [self = shared_from_this(), picked = std::move(*chosen), number]() -> asio::awaitable<void> {
-            co_await self->attemptAt(picked, number);
-        },
-        asio::detached);
+    startTask(m_context.context, "attempt", [self = shared_from_this(), picked = std::move(*chosen), number] {
+        return self->runAttempt(picked, number);
+    });
 }
 
 asio::awaitable<connection_ptr> request_forwarding::openConnection(backend_traffic_ptr backend)
@@ -148,6 +145,23 @@
     co_return connection;
 }
 
+asio::awaitable<void> request_forwarding::runAttempt(chosen_backend chosen, std::uint32_t number)
+{
+    const backend_traffic_ptr backend = chosen.backend;
+    try {
+        co_await attemptAt(std::move(chosen), number);
+        co_return;
+    } catch (...) {
+        noteTaskFailure("attempt", std::current_exception());
+    }
+    // Nobody knows how far it came.
+    std::erase_if(m_live, [number](const attempt &live) { return live.number == number; });
+    if (!m_ended) {
+        fail(*backend, result_code::internal_error, true, mayRepeatUnknown());
+        m_wake.cancel();
+    }
+}
+
 asio::awaitable<void> request_forwarding::attemptAt(chosen_backend chosen, std::uint32_t number)
 {
     const backend_traffic_ptr backend = chosen.backend;
@@ -175,10 +189,10 @@
             return platform::mayAnswer(response, id);
         };
         rules.unframed = true;
-        ++backend->inFlight;
+        rules.budget = &m_context.memory;
+        const count_guard inFlight(backend->inFlight);
         ++backend->sent;
         result = co_await connection->exchange(std::move(message), answerLimits, m_request.deadline, std::move(rules));
-        --backend->inFlight;
         m_context.pool.giveBack(backend->server.id, connection);
     }
     std::erase_if(m_live, [number](const attempt &live) { return live.number == number; });
@@ -203,13 +217,12 @@
         fail(*backend, result_code::connect_failed, false, ++m_connectFailures <= mostConnectFailures);
         return;
     }
-    fail(*backend, result.code, true, m_request.rule->repeat == repeat_policy::idempotent && mayRepeat());
+    fail(*backend, result.code, true, mayRepeatUnknown());
 }
 
 void request_forwarding::noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt)
 {
     const time_point now = steady::now();
-    const bool idempotent = m_request.rule->repeat == repeat_policy::idempotent;
     switch (platform::classifyAnswer(result.response, m_request.id)) {
     case platform::answer_kind::genuine:
         break;
@@ -222,15 +235,15 @@
         return;
     case platform::answer_kind::corrupt:
         backend->health.noteFailure(now);
-        fail(*backend, result_code::answer_malformed, true, idempotent && mayRepeat());
+        fail(*backend, result_code::answer_malformed, true, mayRepeatUnknown());
         return;
     }
     constexpr unsigned firstServerError = 500;
     const bool serverError = result.response.result_int() >= firstServerError;
     if (serverError) {
         backend->health.noteFailure(now);
-        if (idempotent && mayRepeat()) {
-            m_lastAnswer = std::move(result.response);
+        if (mayRepeatUnknown()) {
+            m_lastAnswer = std::move(result);
             fail(*backend, result_code::answer_malformed, true, true);
             return;
         }
@@ -239,6 +252,7 @@
         learnWork(toMilliseconds(now - startedAt));
     }
     m_outcome.response = std::move(result.response);
+    m_outcome.memory = std::move(result.memory);
     end(result_code::ok);
 }
 
@@ -253,6 +267,11 @@
     service.ruleWorkMs.try_emplace(m_request.rule->name, service_traffic::sampleWeight).first->second.add(workMs);
 }
 
+bool request_forwarding::mayRepeatUnknown()
+{
+    return m_request.rule->repeat == repeat_policy::idempotent && mayRepeat();
+}
+
 bool request_forwarding::mayRepeat()
 {
     const time_point now = steady::now();
@@ -286,7 +305,8 @@
 {
     if (m_lastAnswer) {
         // The server's own failure tells the caller more than one of ours.
-        m_outcome.response = std::move(*m_lastAnswer);
+        m_outcome.response = std::move(m_lastAnswer->response);
+        m_outcome.memory = std::move(m_lastAnswer->memory);
         end(result_code::ok);
         return;
     }
--- a/daemon/gateway/requestforwarding.h
+++ b/daemon/gateway/requestforwarding.h
@@ -33,6 +33,8 @@
     result_code code = result_code::ok;
     /** The answer of a backend server, valid when the code is ok. */
     http_response response;
+    /** Memory of the answer's body. */
+    byte_budget::lease memory;
     /** When refused: time after which the caller may come back. */
     milliseconds retryAfter{0};
 };
@@ -75,6 +77,8 @@
     };
 
     boost::asio::awaitable<void> startAttempt();
+    /** Runs an attempt; an exception that leaves it is a failure after which the request may have run. */
+    boost::asio::awaitable<void> runAttempt(chosen_backend chosen, std::uint32_t number);
     boost::asio::awaitable<void> attemptAt(chosen_backend chosen, std::uint32_t number);
     boost::asio::awaitable<connection_ptr> openConnection(backend_traffic_ptr backend);
     void settle(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
@@ -82,6 +86,8 @@
     void learnWork(double tookMs);
     void fail(const backend_traffic &backend, result_code code, bool mayHaveRun, bool repeat);
     bool mayRepeat();
+    /** The same for a request that may have run. */
+    bool mayRepeatUnknown();
     time_point hedgeAt() const;
     void giveUp();
     void end(result_code code);
@@ -102,7 +108,7 @@
     std::uint32_t m_attempts = 0;
     std::uint32_t m_connectFailures = 0;
     /** A whole answer of a server that reports a failure of its own. */
-    std::optional<http_response> m_lastAnswer;
+    std::optional<exchange_result> m_lastAnswer;
     bool m_mayHaveRun = false;
     bool m_repeatWanted = false;
     bool m_hedged = false;
--- a/daemon/logfollower.cpp
+++ b/daemon/logfollower.cpp
@@ -1,10 +1,8 @@
 #include "logfollower.h"
 
 #include "cardamomdeck/base/logline.h"
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <iterator>
@@ -75,15 +73,11 @@
 
 void log_follower::start()
 {
-    const auto spawn = [this](asio::awaitable<void> (log_follower::*loop)()) {
-        asio::co_spawn(
-            m_context, [this, loop]() -> asio::awaitable<void> { co_await (this->*loop)(); }, asio::detached);
-    };
-    spawn(&log_follower::readLoop);
-    spawn(&log_follower::memberLoop);
-    spawn(&log_follower::snapshotLoop);
+    startLoop(m_context, "log_reading", [this] { return readLoop(); });
+    startLoop(m_context, "membership", [this] { return memberLoop(); });
+    startLoop(m_context, "snapshots", [this] { return snapshotLoop(); });
     if (m_settings.vmList) {
-        spawn(&log_follower::vmListLoop);
+        startLoop(m_context, "vm_list", [this] { return vmListLoop(); });
     }
 }
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -13,11 +13,10 @@
 #include "trafficexchange.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/platform/httplogservice.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -74,15 +73,14 @@
             return portInUse(m_settings.peer);
         }
         m_follower.start();
-        asio::co_spawn(
-            m_control, [this]() -> asio::awaitable<void> { co_await awaitSignal(); }, asio::detached);
+        startLoop(m_control, "signals", [this] { return awaitSignal(); });
         log_line("entry_started")
             .add("entry", m_settings.name)
             .add("traffic", toString(m_settings.traffic))
             .add("api", toString(m_settings.api))
             .info();
-        std::thread trafficThread([this] { m_traffic.run(); });
-        m_control.run();
+        std::thread trafficThread([this] { runContext(m_traffic, "traffic"); });
+        runContext(m_control, "control");
         trafficThread.join();
         log_line("entry_stopped").add("entry", m_settings.name).info();
         return 0;
--- a/daemon/peerexchange.cpp
+++ b/daemon/peerexchange.cpp
@@ -1,12 +1,10 @@
 #include "peerexchange.h"
 
 #include "cardamomdeck/base/logline.h"
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/http/framing.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -87,10 +85,8 @@
     if (code != result_code::ok) {
         return code;
     }
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await acceptLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await linkLoop(); }, asio::detached);
+    startLoop(m_context, "peer_connections", [this] { return acceptLoop(); });
+    startLoop(m_context, "peer_links", [this] { return linkLoop(); });
     return code;
 }
 
@@ -118,10 +114,7 @@
             continue;
         }
         auto accepted = std::make_shared<tcp::socket>(std::move(socket));
-        asio::co_spawn(
-            m_context,
-            [this, accepted]() -> asio::awaitable<void> { co_await answerLoop(std::move(*accepted)); },
-            asio::detached);
+        startTask(m_context, "peer_request", [this, accepted] { return answerLoop(std::move(*accepted)); });
     }
 }
 
@@ -158,8 +151,7 @@
             }
             auto link = std::make_shared<peer_link>(m_context, address);
             m_links[address] = link;
-            asio::co_spawn(
-                m_context, [this, link]() -> asio::awaitable<void> { co_await askLoop(link); }, asio::detached);
+            startLoop(m_context, "peer_questions", [this, link] { return askLoop(link); });
         }
         std::erase_if(m_links, [&](const auto &item) {
             item.second->removed = !wanted.contains(item.first);
--- a/daemon/requestpath.cpp
+++ b/daemon/requestpath.cpp
@@ -4,11 +4,9 @@
 #include "requestrun.h"
 
 #include "cardamomdeck/base/logline.h"
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/membership/addressanswer.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -115,10 +113,8 @@
     if (code != result_code::ok) {
         return code;
     }
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await reportLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<void> { co_await probeLoop(); }, asio::detached);
+    startLoop(m_context, "reports", [this] { return reportLoop(); });
+    startLoop(m_context, "probes", [this] { return probeLoop(); });
     return code;
 }
 
@@ -358,10 +354,7 @@
         }
         runtime->probing.insert(name);
         ++runtime->metrics.probes;
-        asio::co_spawn(
-            m_context,
-            [this, runtime, backend = backend]() -> asio::awaitable<void> { co_await probe(runtime, backend); },
-            asio::detached);
+        startTask(m_context, "probe", [this, runtime, backend = backend] { return probe(runtime, backend); });
     }
 }
 
--- a/daemon/requestrun.cpp
+++ b/daemon/requestrun.cpp
@@ -3,10 +3,9 @@
 #include "headers.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/tasks.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -321,12 +320,8 @@
         return;
     }
     ++m_service->metrics.hedges;
-    asio::co_spawn(
-        m_path.m_context,
-        [self = shared_from_this(), backend]() -> asio::awaitable<void> {
-            co_await self->runAttempt(backend, "hedge");
-        },
-        asio::detached);
+    startTask(
+        m_path.m_context, "hedge", [self = shared_from_this(), backend] { return self->runAttempt(backend, "hedge"); });
 }
 
 time_point request_path::request_run::attemptDeadline(std::uint32_t number, time_point now) const
--- /dev/null
+++ b/libs/base/include/cardamomdeck/base/bytebudget.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * Bounds the memory that requests and answers of all connections take together.
+ */
+#pragma once
+
+#include <cstddef>
+
+namespace cardamomdeck {
+
+/**
+ * A number of bytes that holders draw from. Must outlive its leases; used by one thread. Large messages leave a part of
+ * it free, so that a body without end is given up before small ones find no room.
+ */
+class byte_budget
+{
+public:
+    /** Size in bytes above which a message counts as large. */
+    static constexpr std::size_t largeMessage = 256U * 1024U;
+    /** Part of the budget up to which large messages may draw. */
+    static constexpr double largePart = 0.75;
+
+    /** Bytes that are given back at the end of its life. */
+    class lease
+    {
+    public:
+        lease() = default;
+        ~lease();
+        lease(lease &&other) noexcept;
+        lease &operator=(lease &&other) noexcept;
+        lease(const lease &) = delete;
+        lease &operator=(const lease &) = delete;
+
+        /** Makes the lease one of @p bytes; false when the budget is short of what is missing. Never shrinks. */
+        bool growTo(std::size_t bytes);
+
+        /** Bytes held. */
+        std::size_t size() const;
+
+        /** Gives everything back. */
+        void release();
+
+    private:
+        friend class byte_budget;
+        explicit lease(byte_budget &budget);
+
+        byte_budget *m_budget = nullptr;
+        std::size_t m_size = 0;
+    };
+
+    /** A budget of @p limit bytes. */
+    explicit byte_budget(std::size_t limit);
+    byte_budget(const byte_budget &) = delete;
+    byte_budget &operator=(const byte_budget &) = delete;
+
+    /** A lease of no bytes yet. */
+    lease open();
+
+    /** Bytes held now. */
+    std::size_t used() const;
+
+    /** Bytes that may be held. */
+    std::size_t limit() const;
+
+    /** True when more than @p part of the budget is held. */
+    bool isAbove(double part) const;
+
+private:
+    std::size_t m_limit;
+    std::size_t m_used = 0;
+};
+
+}
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -45,6 +45,7 @@
     view_stale = 307,
     backend_refused = 308,
     connect_failed = 309,
+    memory_short = 310,
     request_incomplete = 311,
 
     deadline_passed = 400,
--- a/libs/base/src/resultcode.cpp
+++ b/libs/base/src/resultcode.cpp
@@ -42,6 +42,7 @@
     {result_code::view_stale, "view_stale", outcome::not_run, 503, "The entry cannot confirm its configuration."},
     {result_code::backend_refused, "backend_refused", outcome::not_run, 503, "Back ends refused before starting."},
     {result_code::connect_failed, "connect_failed", outcome::not_run, 503, "No connection to a back end was made."},
+    {result_code::memory_short, "memory_short", outcome::not_run, 503, "The memory for bodies is in use."},
     {result_code::request_incomplete,
      "request_incomplete",
      outcome::not_run,
--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/base/socketaddress.h"
@@ -11,6 +12,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
@@ -36,6 +38,8 @@
     std::function<bool(const http_response &)> accepts;
     /** Accepts answers whose end is the end of the connection; a reset is never taken for that end. */
     bool unframed = false;
+    /** Memory that bodies are taken from; null for no bound but that of the message. Must outlive the result. */
+    byte_budget *budget = nullptr;
 };
 
 /** How an exchange ended. */
@@ -46,6 +50,8 @@
     bool bytesSent = false;
     /** Valid when the code is ok. */
     http_response response;
+    /** Memory of the response's body. */
+    byte_budget::lease memory;
 };
 
 /**
@@ -68,8 +74,8 @@
     /**
      * Sends @p request and receives the whole answer, which may come before
      * the request is sent completely; then the connection is closed.
-     * Errors: deadline_passed, answer_cut, answer_malformed, answer_too_large,
-     * connection_lost.
+     * Errors: deadline_passed, answer_cut, answer_malformed (also after too many answers that are to be skipped),
+     * answer_too_large (also when the budget is short), connection_lost.
      */
     boost::asio::awaitable<exchange_result>
     exchange(http_request request, message_limits limits, time_point deadline, answer_rules rules = {});
@@ -88,9 +94,12 @@
 
 private:
     struct state;
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
     boost::asio::awaitable<bool> send(const http_request &request, exchange_result &result);
     boost::asio::awaitable<result_code>
-    receive(const http_request &request, message_limits limits, const answer_rules &rules, http_response &response);
+    receive(const http_request &request, message_limits limits, const answer_rules &rules, exchange_result &result);
+    boost::asio::awaitable<result_code> readWhole(response_parser &parser, byte_budget::lease &memory);
 
     std::shared_ptr<state> m_state;
 };
--- a/libs/http/include/cardamomdeck/http/httpserver.h
+++ b/libs/http/include/cardamomdeck/http/httpserver.h
@@ -29,6 +29,9 @@
 
     /** Closes the connection instead of writing an answer. */
     virtual void abandon() = 0;
+
+    /** Keeps @p memory taken until the answer has been written. */
+    virtual void holdUntilWritten(byte_budget::lease memory) = 0;
 };
 
 /** Limits and hooks of a server. */
@@ -44,6 +47,8 @@
     std::size_t maxConnections = 16'384;
     /** Requests of one connection that are served at once; further ones wait unread. */
     std::size_t pipelineDepth = 1;
+    /** Memory that bodies of requests are taken from; null for no bound but that of each. Must outlive the server. */
+    byte_budget *budget = nullptr;
     /** Builds the answer to a request that could not be read. */
     std::function<http_response(result_code)> rejection;
 };
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -1,8 +1,9 @@
 #include "cardamomdeck/http/httpconnection.h"
 
+#include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/tasks.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -37,7 +38,14 @@
 /** Time in milliseconds after which sent data that the other end does not acknowledge ends the connection. */
 constexpr int unacknowledgedLimitMs = 3000;
 
-using response_parser = http::response_parser<http::string_body>;
+/**
+ * Answers of one exchange that are skipped: interim ones, and late ones to earlier requests. A server that sends more
+ * is not going to answer.
+ */
+constexpr std::size_t mostSkipped = 16;
+
+/** Bytes of a body that are read before its memory is taken from the budget. */
+constexpr std::size_t bodyStep = 16U * 1024U;
 
 result_code codeOfReadError(const beast::error_code &error)
 {
@@ -57,9 +65,9 @@
     return result_code::connection_lost;
 }
 
-bool isInterim(const response_parser &parser)
+bool isInterim(const http_response &response)
 {
-    const unsigned status = parser.get().result_int();
+    const unsigned status = response.result_int();
     return status >= 100 && status < 200;
 }
 
@@ -121,13 +129,10 @@
     if (request.body().size() > directWriteBytes) {
         // The other end may answer before it has read all of a long request.
         state->writing = true;
-        asio::co_spawn(
-            state->stream.get_executor(),
-            [state, copy = request]() -> asio::awaitable<void> {
-                co_await http::async_write(state->stream, copy, asTuple);
-                state->writing = false;
-            },
-            asio::detached);
+        startTask(state->stream.get_executor(), "long_request", [state, copy = request]() -> asio::awaitable<void> {
+            co_await http::async_write(state->stream, copy, asTuple);
+            state->writing = false;
+        });
         co_return true;
     }
     const auto [error, written] = co_await http::async_write(state->stream, request, asTuple);
@@ -139,22 +144,46 @@
     co_return false;
 }
 
+asio::awaitable<result_code> http_connection::readWhole(response_parser &parser, byte_budget::lease &memory)
+{
+    const std::shared_ptr<state> state = m_state;
+    const auto [headError, headSize] = co_await http::async_read_header(state->stream, state->buffer, parser, asTuple);
+    if (headError) {
+        co_return codeOfReadError(headError);
+    }
+    parser.eager(true);
+    const std::size_t announced = parser.content_length().value_or(0);
+    while (!parser.is_done()) {
+        const std::size_t body = parser.get().body().size();
+        if (!memory.growTo(announced > 0 ? announced : body + bodyStep)) {
+            log_line("answer_dropped").add("reason", "memory_short").add("bytes", body).add("size", announced).warn();
+            co_return result_code::answer_too_large;
+        }
+        const auto [error, size] = co_await http::async_read_some(state->stream, state->buffer, parser, asTuple);
+        if (error) {
+            co_return codeOfReadError(error);
+        }
+    }
+    co_return result_code::ok;
+}
+
 asio::awaitable<result_code> http_connection::receive(const http_request &request,
                                                       message_limits limits,
                                                       const answer_rules &rules,
-                                                      http_response &response)
+                                                      exchange_result &result)
 {
     const std::shared_ptr<state> state = m_state;
-    for (;;) {
+    for (std::size_t skipped = 0; skipped <= mostSkipped; ++skipped) {
+        byte_budget::lease memory = rules.budget != nullptr ? rules.budget->open() : byte_budget::lease();
         response_parser parser;
         parser.header_limit(limits.headBytes);
         parser.body_limit(limits.bodyBytes);
         parser.skip(request.method() == http::verb::head);
-        const auto [error, received] = co_await http::async_read(state->stream, state->buffer, parser, asTuple);
-        if (error) {
-            co_return codeOfReadError(error);
+        const result_code code = co_await readWhole(parser, memory);
+        if (code != result_code::ok) {
+            co_return code;
         }
-        if (isInterim(parser)) {
+        if (isInterim(parser.get())) {
             continue;
         }
         const bool unframed = parser.need_eof();
@@ -169,7 +198,8 @@
             continue;
         }
         const bool reusable = parser.keep_alive() && !unframed && !state->writing;
-        response = parser.release();
+        result.response = parser.release();
+        result.memory = std::move(memory);
         state->lastProof = steady::now();
         state->busy = false;
         // Bytes beyond the answer belong to nobody; the next request must not take them for its own.
@@ -178,6 +208,7 @@
         }
         co_return result_code::ok;
     }
+    co_return result_code::answer_malformed;
 }
 
 asio::awaitable<exchange_result>
@@ -190,7 +221,7 @@
         close();
         co_return result;
     }
-    result.code = co_await receive(request, limits, rules, result.response);
+    result.code = co_await receive(request, limits, rules, result);
     if (result.code != result_code::ok) {
         close();
     }
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -1,11 +1,9 @@
 #include "cardamomdeck/http/httpserver.h"
 
-#include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 #include "private/serverconnection.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace cardamomdeck {
@@ -38,9 +36,26 @@
             co_await sleepUntil(steady::now() + acceptPause);
             continue;
         }
-        auto session = std::make_shared<connection>(std::move(socket), self);
-        asio::co_spawn(
-            executor, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
+        serve(std::move(socket));
+    }
+}
+
+void http_server::state::serve(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<connection>(std::move(socket), shared_from_this());
+    startTask(executor, "caller_connection", [session] { return session->run(); });
+}
+
+void http_server::state::acceptWaiting()
+{
+    beast::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(executor);
+        acceptor.accept(socket, error);
+        if (!error) {
+            serve(std::move(socket));
+        }
     }
 }
 
@@ -78,10 +93,8 @@
         return code;
     }
     const auto state = m_state;
-    asio::co_spawn(
-        state->executor, [state]() -> asio::awaitable<void> { co_await state->acceptLoop(); }, asio::detached);
-    asio::co_spawn(
-        state->executor, [state]() -> asio::awaitable<void> { co_await state->sweepLoop(); }, asio::detached);
+    startLoop(state->executor, "accepting", [state] { return state->acceptLoop(); });
+    startLoop(state->executor, "caller_timeouts", [state] { return state->sweepLoop(); });
     return result_code::ok;
 }
 
@@ -101,6 +114,7 @@
 {
     m_state->closing = true;
     m_state->stopped = true;
+    m_state->acceptWaiting();
     beast::error_code ignored;
     m_state->acceptor.close(ignored);
     const std::set<connection *> sessions = m_state->sessions;
--- a/libs/http/src/private/serverconnection.h
+++ b/libs/http/src/private/serverconnection.h
@@ -31,6 +31,9 @@
 
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> sweepLoop();
+    void serve(boost::asio::ip::tcp::socket socket);
+    /** Serves the connections that callers have made and acceptLoop() has not seen; closing would reset them. */
+    void acceptWaiting();
 
     boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::acceptor acceptor;
@@ -72,13 +75,14 @@
 
     boost::asio::awaitable<bool> readFirstBytes();
     boost::asio::awaitable<bool> readHead(request_parser &parser);
-    boost::asio::awaitable<bool> readBody(request_parser &parser);
+    boost::asio::awaitable<bool> readBody(request_parser &parser, byte_budget::lease &memory);
     boost::asio::awaitable<bool> readRequest();
     boost::asio::awaitable<void> dropRest();
+    boost::asio::awaitable<http_response> handle(exchange_ptr entry);
     boost::asio::awaitable<void> waitForRoom();
     boost::asio::awaitable<void> writeAnswers();
     void serve(exchange_ptr entry);
-    void reject(boost::beast::error_code error);
+    void reject(result_code code);
     void answered();
     void noteCallerGone();
     void enter(read_phase phase);
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -1,8 +1,8 @@
 #include "private/serverconnection.h"
 
+#include "cardamomdeck/http/tasks.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -25,6 +25,9 @@
 /** Room in the buffer beyond the largest head, in bytes. */
 constexpr std::size_t bodyReadBytes = 65536;
 
+/** Bytes of a body that are read before its memory is taken from the budget. */
+constexpr std::size_t bodyStep = 16U * 1024U;
+
 /** Time for which a closed connection is still read, so that its last answer is not lost by a reset. */
 constexpr milliseconds lingerTime{1000};
 
@@ -36,7 +39,7 @@
     if (error == http::error::body_limit) {
         return result_code::body_too_large;
     }
-    if (error == beast::error::timeout || error == http::error::partial_message) {
+    if (error == http::error::partial_message) {
         return result_code::request_incomplete;
     }
     return result_code::request_malformed;
@@ -63,8 +66,15 @@
         abandoned = true;
     }
 
+    void holdUntilWritten(byte_budget::lease memory) override
+    {
+        answerMemory = std::move(memory);
+    }
+
     http_request request;
     std::optional<http_response> response;
+    byte_budget::lease requestMemory;
+    byte_budget::lease answerMemory;
     std::function<void()> callerGone;
     bool keepAlive = true;
     bool abandoned = false;
@@ -168,9 +178,9 @@
         co_return true;
     }
     if (m_timedOut) {
-        reject(beast::error::timeout);
+        reject(result_code::request_incomplete);
     } else if (isHttpError(error) && error != http::error::end_of_stream && error != http::error::partial_message) {
-        reject(error);
+        reject(codeOfRequestError(error));
     } else {
         noteCallerGone();
         close();
@@ -178,7 +188,7 @@
     co_return false;
 }
 
-asio::awaitable<bool> http_server::connection::readBody(request_parser &parser)
+asio::awaitable<bool> http_server::connection::readBody(request_parser &parser, byte_budget::lease &memory)
 {
     enter(read_phase::body);
     if (m_pending.empty() && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -189,7 +199,12 @@
             co_return false;
         }
     }
+    const std::size_t announced = parser.content_length().value_or(0);
     while (!parser.is_done()) {
+        if (!memory.growTo(announced > 0 ? announced : parser.get().body().size() + bodyStep)) {
+            reject(result_code::memory_short);
+            co_return false;
+        }
         const auto [error, size] = co_await http::async_read_some(m_socket, m_buffer, parser, asTuple);
         if (error) {
             const bool ended = !m_timedOut && (!isHttpError(error) || error == http::error::partial_message);
@@ -197,7 +212,7 @@
                 noteCallerGone();
                 close();
             } else {
-                reject(m_timedOut ? beast::error_code(beast::error::timeout) : error);
+                reject(m_timedOut ? result_code::request_incomplete : codeOfRequestError(error));
             }
             co_return false;
         }
@@ -215,7 +230,9 @@
     request_parser parser;
     parser.header_limit(limits.headBytes);
     parser.body_limit(limits.bodyBytes);
-    if (!co_await readHead(parser) || !co_await readBody(parser)) {
+    byte_budget *const budget = m_server->options.budget;
+    byte_budget::lease memory = budget != nullptr ? budget->open() : byte_budget::lease();
+    if (!co_await readHead(parser) || !co_await readBody(parser, memory)) {
         co_return false;
     }
     enter(read_phase::idle);
@@ -226,6 +243,7 @@
     const auto entry = std::make_shared<exchange>();
     entry->keepAlive = parser.keep_alive();
     entry->request = parser.release();
+    entry->requestMemory = std::move(memory);
     m_pending.push_back(entry);
     serve(entry);
     co_return entry->keepAlive && !m_closed;
@@ -233,16 +251,25 @@
 
 void http_server::connection::serve(exchange_ptr entry)
 {
-    asio::co_spawn(
-        m_server->executor,
-        [self = shared_from_this(), entry]() -> asio::awaitable<void> {
-            http_response response = co_await self->m_server->handle(entry->request, *entry);
-            response.version(entry->request.version());
-            entry->response = std::move(response);
-            entry->callerGone = nullptr;
-            self->answered();
-        },
-        asio::detached);
+    startTask(m_server->executor, "request", [self = shared_from_this(), entry]() -> asio::awaitable<void> {
+        http_response response = co_await self->handle(entry);
+        response.version(entry->request.version());
+        entry->response = std::move(response);
+        entry->callerGone = nullptr;
+        self->answered();
+    });
+}
+
+asio::awaitable<http_response> http_server::connection::handle(exchange_ptr entry)
+{
+    try {
+        co_return co_await m_server->handle(entry->request, *entry);
+    } catch (...) {
+        noteTaskFailure("request", std::current_exception());
+    }
+    constexpr unsigned statusBadGateway = 502;
+    co_return m_server->options.rejection ? m_server->options.rejection(result_code::internal_error)
+                                          : makeResponse(statusBadGateway, "{}");
 }
 
 void http_server::connection::answered()
@@ -250,10 +277,7 @@
     if (m_writing || m_closed) {
         return;
     }
-    asio::co_spawn(
-        m_server->executor,
-        [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->writeAnswers(); },
-        asio::detached);
+    startTask(m_server->executor, "answers", [self = shared_from_this()] { return self->writeAnswers(); });
 }
 
 asio::awaitable<void> http_server::connection::writeAnswers()
@@ -299,7 +323,7 @@
     m_writing = false;
 }
 
-void http_server::connection::reject(beast::error_code error)
+void http_server::connection::reject(result_code code)
 {
     enter(read_phase::rest);
     if (!m_server->options.rejection) {
@@ -308,7 +332,7 @@
     }
     const auto entry = std::make_shared<exchange>();
     entry->keepAlive = false;
-    entry->response = m_server->options.rejection(codeOfRequestError(error));
+    entry->response = m_server->options.rejection(code);
     m_pending.push_back(entry);
     answered();
 }
@@ -325,7 +349,9 @@
 
 void http_server::connection::closeIfIdle()
 {
-    if (m_phase == read_phase::idle && m_pending.empty() && m_buffer.size() == 0) {
+    // A request that has arrived and was not read yet would be lost with the connection.
+    beast::error_code ignored;
+    if (m_phase == read_phase::idle && m_pending.empty() && m_buffer.size() == 0 && m_socket.available(ignored) == 0) {
         close();
     }
 }
