Do not act on what a pause has made old, and do not cut off callers who have just connected

Ruled out: the age of notices themselves, which their sender states correctly.

A pause meter looks at both clocks. After a pause, waiting datagrams are dropped, the view is read anew, and requests wait for that for 200 ms at most; a suspension is taken off the caller's time. A caller that has gone before its request is watched is told as gone. A stopping server waits for the first request of a new connection for 0.5 s.

Large request bodies take 40 % of the memory for bodies.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <ctime>
 #include <random>
 
 namespace cardamomdeck {
@@ -44,19 +43,6 @@
 constexpr milliseconds relayPatience{250};
 constexpr milliseconds relaySpread{150};
 
-/** Jump between the clocks above which the process counts as having been suspended. */
-constexpr milliseconds suspensionLimit{300};
-
-/** Time for which the machine has been suspended since its start, up to a constant. */
-nanoseconds suspendedTotal()
-{
-    timespec withSuspension{};
-    timespec without{};
-    clock_gettime(CLOCK_BOOTTIME, &withSuspension);
-    clock_gettime(CLOCK_MONOTONIC, &without);
-    return seconds(withSuspension.tv_sec - without.tv_sec) + nanoseconds(withSuspension.tv_nsec - without.tv_nsec);
-}
-
 fleet_member makeSelf(const platform::platform_settings &settings)
 {
     fleet_member self{settings.vmName, settings.zone, settings.host, unixMilliseconds()};
@@ -82,6 +68,7 @@
           [this](bool available) { noteStore(available, "members"); },
           [this] { tellAll(m_state.notice(steady::now())); })
     , m_readTimer(context)
+    , m_pauses(steady::now())
 {
     m_link.onNotice([this](const peer_notice &notice) { hear(notice); });
     m_link.onPush([this](const view_push &push) { takeOver(push); });
@@ -180,6 +167,10 @@
 
 void fleet_control::hear(const peer_notice &notice)
 {
+    if (checkPause()) {
+        // It has waited like those that were dropped, and would make an old view look fresh.
+        return;
+    }
     const time_point now = steady::now();
     const fleet_state::hearing heard = m_state.hear(notice, now);
     if (heard.ask && m_asking == 0) {
@@ -319,22 +310,31 @@
 {
     for (;;) {
         co_await sleepUntil(steady::now() + heartbeatPeriod);
-        checkSuspension();
+        checkPause();
         m_state.expire(steady::now());
         sendHeartbeat();
         publish();
     }
 }
 
-void fleet_control::checkSuspension()
+bool fleet_control::checkPause()
 {
-    const nanoseconds total = suspendedTotal();
-    if (m_suspendedTotal && total - *m_suspendedTotal > suspensionLimit) {
-        log_line("resumed").add("suspended_ms", toMilliseconds(total - *m_suspendedTotal)).warn();
-        m_state.noteSuspended(steady::now());
-        m_readTimer.cancel();
+    const time_point now = steady::now();
+    const nanoseconds paused = m_pauses.look(now);
+    if (paused == nanoseconds(0)) {
+        return false;
     }
-    m_suspendedTotal = total;
+    const std::size_t dropped = m_link.dropQueued();
+    log_line("resumed").add("paused_ms", toMilliseconds(paused)).add("datagrams_dropped", dropped).warn();
+    m_state.notePaused(now);
+    m_readTimer.cancel();
+    return true;
+}
+
+bool fleet_control::isViewSuspect()
+{
+    checkPause();
+    return m_state.isSuspect(steady::now());
 }
 
 void fleet_control::publish()
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -10,6 +10,7 @@
 #include "storereader.h"
 
 #include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/base/suspension.h"
 #include "cardamomdeck/fleet/fleetstate.h"
 #include "cardamomdeck/platform/platformsettings.h"
 #include "cardamomdeck/platform/storeclient.h"
@@ -47,6 +48,9 @@
     /** False after a failed call, until one succeeds. */
     bool storeAvailable() const;
 
+    /** True right after the process was paused for long: its view is about to be read anew. */
+    bool isViewSuspect();
+
     /** Calls made to the store. */
     std::uint64_t storeCalls() const;
 
@@ -66,7 +70,8 @@
     void sendHeartbeat();
     void noteStore(bool available, const char *part);
     void publish();
-    void checkSuspension();
+    /** True right after a pause of this process; drops what has arrived meanwhile, and distrusts the view. */
+    bool checkPause();
 
     boost::asio::io_context &m_context;
     const platform::platform_settings &m_settings;
@@ -80,7 +85,7 @@
     member_directory m_directory;
     boost::asio::steady_timer m_readTimer;
     fleet_view_ptr m_published;
-    std::optional<nanoseconds> m_suspendedTotal;
+    pause_meter m_pauses;
     /** Questions to peers that are under way; one at a time. */
     unsigned m_asking = 0;
     bool m_storeAvailable = true;
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -44,7 +44,7 @@
     : m_settings(std::move(settings))
     , m_file(std::move(file))
     , m_metricsPort(metricsPort)
-    , m_path(m_context, m_settings)
+    , m_path(m_context, m_settings, [this] { return m_control.isViewSuspect(); })
     , m_control(m_context, m_settings, [this](const fleet_view_ptr &view) { m_path.install(view); })
     , m_operators(m_context, m_path, m_control)
 {
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -2,6 +2,7 @@
 
 #include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 #include "cardamomdeck/platform/ingresscodec.h"
 
@@ -19,6 +20,10 @@
 /** Requests of one connection that are served at once. */
 constexpr std::size_t pipelineDepth = 16;
 
+/** Longest time for which requests wait for a view after a pause; a read of the store takes some 20 ms. */
+constexpr milliseconds trustPatience{200};
+constexpr milliseconds trustPoll{5};
+
 /** Pause that callers are asked for while this entry cannot serve them. */
 constexpr milliseconds unreadyPause{100};
 
@@ -28,8 +33,11 @@
  */
 constexpr double bodyPart = 0.15;
 
-/** Part of that in use above which new requests are refused, so that those in hand find room for their answers. */
-constexpr double refusedAbove = 0.6;
+/**
+ * Part of that in use above which new requests are refused, so that those in hand find room for their answers. Large
+ * messages alone do not fill it: small requests are served beside them.
+ */
+constexpr double refusedAbove = 0.85;
 
 /** Part of the descriptors for callers; the others are for back ends, peers, the store and files. */
 constexpr double callerPart = 0.6;
@@ -63,7 +71,9 @@
 
 }
 
-gateway_path::gateway_path(asio::io_context &traffic, const platform::platform_settings &settings)
+gateway_path::gateway_path(asio::io_context &traffic,
+                           const platform::platform_settings &settings,
+                           suspicion viewSuspect)
     : m_settings(settings)
     , m_random(std::random_device()())
     , m_memory(static_cast<std::size_t>(bodyPart * static_cast<double>(settings.resources.memoryBytes)))
@@ -81,6 +91,7 @@
           traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
     , m_resolver(
           traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
+    , m_viewSuspect(std::move(viewSuspect))
     , m_view(std::make_shared<fleet_view>())
 {
 }
@@ -211,9 +222,18 @@
     return position->second.next();
 }
 
+asio::awaitable<void> gateway_path::awaitTrustedView()
+{
+    const time_point until = steady::now() + trustPatience;
+    while (m_viewSuspect() && steady::now() < until) {
+        co_await sleepUntil(steady::now() + trustPoll);
+    }
+}
+
 asio::awaitable<http_response> gateway_path::handle(http_request &request, http_session &session)
 {
     const time_point arrival = steady::now();
+    co_await awaitTrustedView();
     const std::uint64_t version = m_view->config->version;
     if (version == 0 || m_refusing) {
         co_return refuse(version == 0 ? result_code::view_stale : result_code::overloaded, unreadyPause);
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -23,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -32,7 +33,10 @@
 class gateway_path
 {
 public:
-    gateway_path(boost::asio::io_context &traffic, const platform::platform_settings &settings);
+    /** Tells that the view is about to be replaced, because this process was paused; see handle(). */
+    using suspicion = std::function<bool()>;
+
+    gateway_path(boost::asio::io_context &traffic, const platform::platform_settings &settings, suspicion viewSuspect);
 
     /** Binds the ports for callers and the platform. Errors: port_in_use. */
     result_code start();
@@ -74,6 +78,8 @@
                 std::uint64_t configVersion,
                 const std::string &service,
                 double tookMs);
+    /** Waits, for a moment at most, until the view is one that was valid after a pause of this process. */
+    boost::asio::awaitable<void> awaitTrustedView();
     http_response answerAddresses(const caller_place &place);
     http_response refuse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnread(result_code code) const;
@@ -89,6 +95,7 @@
     http_server m_traffic;
     http_server m_readiness;
     http_server m_resolver;
+    suspicion m_viewSuspect;
     fleet_view_ptr m_view;
     rule_table m_rules;
     request_history m_history;
--- a/daemon/gateway/memberdirectory.cpp
+++ b/daemon/gateway/memberdirectory.cpp
@@ -43,7 +43,8 @@
 
 asio::awaitable<void> member_directory::announce()
 {
-    for (;;) {
+    while (!m_state.members().self().leaving) {
+        m_mayBeAnnounced = true;
         const std::string record = platform::encodeMember(m_state.members().self());
         const result_code written = co_await m_store.write(
             store_topic::members, m_state.members().self().name, record, steady::now() + callTimeout);
@@ -94,7 +95,7 @@
 
 asio::awaitable<void> member_directory::withdraw()
 {
-    if (!m_announced) {
+    if (!m_mayBeAnnounced) {
         co_return;
     }
     const result_code written
--- a/daemon/gateway/memberdirectory.h
+++ b/daemon/gateway/memberdirectory.h
@@ -38,6 +38,8 @@
     std::function<void(bool)> m_noteStore;
     std::function<void()> m_membersRead;
     bool m_announced = false;
+    /** A record may be in the store: also after a write whose answer was lost. */
+    bool m_mayBeAnnounced = false;
 };
 
 }
--- a/daemon/gateway/peerlink.cpp
+++ b/daemon/gateway/peerlink.cpp
@@ -37,6 +37,9 @@
  */
 constexpr std::size_t mostAnswers = 8;
 
+/** Datagrams dropped at once; a socket's buffer holds some hundred. */
+constexpr std::size_t mostDropped = 10'000;
+
 /** Largest heartbeat in bytes. */
 constexpr std::size_t largestDatagram = 4096;
 
@@ -99,6 +102,21 @@
     }
 }
 
+std::size_t peer_link::dropQueued()
+{
+    std::array<char, largestDatagram> buffer{};
+    udp::endpoint from;
+    beast::error_code error;
+    std::size_t dropped = 0;
+    for (; dropped < mostDropped; ++dropped) {
+        m_datagrams.receive_from(asio::buffer(buffer), from, 0, error);
+        if (error) {
+            break;
+        }
+    }
+    return dropped;
+}
+
 asio::awaitable<void> peer_link::receiveLoop()
 {
     std::array<char, largestDatagram> buffer{};
--- a/daemon/gateway/peerlink.h
+++ b/daemon/gateway/peerlink.h
@@ -37,6 +37,9 @@
     /** Calls @p handler for news that a peer hands on. */
     void onPush(std::function<void(view_push)> handler);
 
+    /** Drops the datagrams that wait in the socket; returns how many. */
+    std::size_t dropQueued();
+
     /** Sends a heartbeat to @p hosts. */
     void send(const peer_notice &notice, const std::vector<std::string> &hosts);
 
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -57,6 +57,7 @@
     m_request.service->repeats.noteRequest(m_request.arrival);
     co_await startAttempt();
     while (!m_ended) {
+        subtractSuspension();
         const time_point now = steady::now();
         if (now >= m_request.deadline) {
             m_mayHaveRun = m_mayHaveRun || !m_live.empty();
@@ -176,6 +177,7 @@
         co_return;
     }
     exchange_result result;
+    subtractSuspension();
     const time_point startedAt = steady::now();
     const auto left = std::chrono::floor<milliseconds>(m_request.deadline - startedAt);
     if (!connection || left <= milliseconds(0)) {
@@ -267,6 +269,11 @@
     service.ruleWorkMs.try_emplace(m_request.rule->name, service_traffic::sampleWeight).first->second.add(workMs);
 }
 
+void request_forwarding::subtractSuspension()
+{
+    m_request.deadline -= m_suspension.look();
+}
+
 bool request_forwarding::mayRepeatUnknown()
 {
     return m_request.rule->repeat == repeat_policy::idempotent && mayRepeat();
--- a/daemon/gateway/requestforwarding.h
+++ b/daemon/gateway/requestforwarding.h
@@ -9,6 +9,7 @@
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/base/suspension.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/http/httpconnection.h"
@@ -85,6 +86,8 @@
     void noteAnswer(const backend_traffic_ptr &backend, exchange_result result, time_point startedAt);
     void learnWork(double tookMs);
     void fail(const backend_traffic &backend, result_code code, bool mayHaveRun, bool repeat);
+    /** Takes a suspension of the machine off the caller's time, which went on. */
+    void subtractSuspension();
     bool mayRepeat();
     /** The same for a request that may have run. */
     bool mayRepeatUnknown();
@@ -95,6 +98,7 @@
     forwarding_context &m_context;
     forwarded_request m_request;
     backend_selection m_selection;
+    suspension_meter m_suspension;
     boost::asio::steady_timer m_wake;
     std::set<std::string> m_tried;
     std::vector<attempt> m_live;
--- a/libs/base/include/cardamomdeck/base/bytebudget.h
+++ b/libs/base/include/cardamomdeck/base/bytebudget.h
@@ -17,7 +17,7 @@
 public:
     /** Size in bytes above which a message counts as large. */
     static constexpr std::size_t largeMessage = 256U * 1024U;
-    /** Part of the budget up to which large messages may draw. */
+    /** Part of the budget up to which large messages may draw, unless a lease names another. */
     static constexpr double largePart = 0.75;
 
     /** Bytes that are given back at the end of its life. */
@@ -42,9 +42,10 @@
 
     private:
         friend class byte_budget;
-        explicit lease(byte_budget &budget);
+        lease(byte_budget &budget, double part);
 
         byte_budget *m_budget = nullptr;
+        double m_largePart = largePart;
         std::size_t m_size = 0;
     };
 
@@ -53,8 +54,8 @@
     byte_budget(const byte_budget &) = delete;
     byte_budget &operator=(const byte_budget &) = delete;
 
-    /** A lease of no bytes yet. */
-    lease open();
+    /** A lease of no bytes yet, of a message that may draw up to @p part of the budget when it is large. */
+    lease open(double part = largePart);
 
     /** Bytes held now. */
     std::size_t used() const;
--- /dev/null
+++ b/libs/base/include/cardamomdeck/base/suspension.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * Notices that the process did not run for some time: the machine was suspended, during which the monotonic clock stands
+ * still, or the process was stopped or starved.
+ */
+#pragma once
+
+#include "cardamomdeck/base/clock.h"
+
+#include <functional>
+
+namespace cardamomdeck {
+
+/** Time for which the machine has been suspended since its start, up to a constant. */
+nanoseconds suspendedTotal();
+
+/** Tells for how long the machine was suspended between two looks. */
+class suspension_meter
+{
+public:
+    /** Shorter ones cannot be told from the distance between two readings of the clocks. */
+    static constexpr milliseconds shortestSuspension{300};
+
+    /** A meter of what @p total returns, counted from now on. */
+    explicit suspension_meter(std::function<nanoseconds()> total = suspendedTotal);
+
+    /** Length of the suspension since the last look; zero mostly. */
+    nanoseconds look();
+
+private:
+    std::function<nanoseconds()> m_total;
+    nanoseconds m_seen;
+};
+
+/**
+ * Tells for how long a process that looks at it regularly did not run. What arrived meanwhile waits in its sockets and
+ * looks younger than it is.
+ */
+class pause_meter
+{
+public:
+    /** Time between two looks above which the process counts as paused; it looks each 0.4 s and more often. */
+    static constexpr milliseconds shortestPause{1000};
+
+    /** A meter that was looked at for the last time at @p now. */
+    explicit pause_meter(time_point now, suspension_meter suspension = suspension_meter());
+
+    /** Length of the pause that has ended just before @p now; zero mostly. */
+    nanoseconds look(time_point now);
+
+private:
+    time_point m_lookedAt;
+    suspension_meter m_suspension;
+};
+
+}
--- a/libs/base/src/bytebudget.cpp
+++ b/libs/base/src/bytebudget.cpp
@@ -4,8 +4,9 @@
 
 namespace cardamomdeck {
 
-byte_budget::lease::lease(byte_budget &budget)
+byte_budget::lease::lease(byte_budget &budget, double part)
     : m_budget(&budget)
+    , m_largePart(part)
 {
 }
 
@@ -16,6 +17,7 @@
 
 byte_budget::lease::lease(lease &&other) noexcept
     : m_budget(other.m_budget)
+    , m_largePart(other.m_largePart)
     , m_size(std::exchange(other.m_size, 0))
 {
 }
@@ -25,6 +27,7 @@
     if (this != &other) {
         release();
         m_budget = other.m_budget;
+        m_largePart = other.m_largePart;
         m_size = std::exchange(other.m_size, 0);
     }
     return *this;
@@ -36,7 +39,7 @@
         return true;
     }
     const std::size_t used = m_budget->m_used + (bytes - m_size);
-    const double part = bytes > largeMessage ? largePart : 1.0;
+    const double part = bytes > largeMessage ? m_largePart : 1.0;
     if (static_cast<double>(used) > part * static_cast<double>(m_budget->m_limit)) {
         return false;
     }
@@ -63,9 +66,9 @@
 {
 }
 
-byte_budget::lease byte_budget::open()
+byte_budget::lease byte_budget::open(double part)
 {
-    return lease(*this);
+    return {*this, part};
 }
 
 std::size_t byte_budget::used() const
--- /dev/null
+++ b/libs/base/tests/suspensiontest.cpp
@@ -0,0 +1,46 @@
+#include "cardamomdeck/base/suspension.h"
+
+#include <criterion/criterion.h>
+
+using namespace cardamomdeck;
+
+TestSuite(a_machine_is_suspended);
+
+Test(a_machine_is_suspended, each_suspension_is_told_once)
+{
+    nanoseconds total = seconds(5);
+    suspension_meter meter([&] { return total; });
+    cr_assert_eq(meter.look().count(), 0);
+    total += seconds(3);
+    cr_assert_eq(meter.look(), seconds(3));
+    cr_assert_eq(meter.look().count(), 0);
+}
+
+Test(a_machine_is_suspended, the_distance_between_two_readings_is_none)
+{
+    nanoseconds total = seconds(5);
+    suspension_meter meter([&] { return total; });
+    total += milliseconds(2);
+    cr_assert_eq(meter.look().count(), 0);
+    cr_assert_lt(suspension_meter().look(), seconds(1));
+}
+
+TestSuite(a_process_is_stopped);
+
+Test(a_process_is_stopped, a_long_gap_between_two_looks_is_told_once)
+{
+    const time_point start{seconds(1000)};
+    pause_meter meter(start, suspension_meter([] { return nanoseconds(0); }));
+    cr_assert_eq(meter.look(start + milliseconds(400)).count(), 0);
+    cr_assert_eq(meter.look(start + milliseconds(3400)), seconds(3));
+    cr_assert_eq(meter.look(start + milliseconds(3401)).count(), 0);
+}
+
+Test(a_process_is_stopped, a_suspended_machine_counts_as_well)
+{
+    const time_point start{seconds(1000)};
+    nanoseconds total{0};
+    pause_meter meter(start, suspension_meter([&] { return total; }));
+    total = seconds(5);
+    cr_assert_eq(meter.look(start + milliseconds(10)), seconds(5));
+}
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -110,8 +110,14 @@
     /** Forgets lapsed servers and silent members; true when the view changed. */
     bool expire(time_point now);
 
-    /** Makes the next read due at once, and older views untrusted: the process has been suspended. */
-    void noteSuspended(time_point now);
+    /** Makes the next read due at once, and older views untrusted: the process did not run until @p now. */
+    void notePaused(time_point now);
+
+    /**
+     * True when the view is from before a pause of this process, or as old as in an outage though no read has failed:
+     * what may still be used will be known in a moment.
+     */
+    bool isSuspect(time_point now) const;
 
     /** This entry begins to shut down. */
     void startLeaving();
@@ -166,6 +172,10 @@
     bool m_complete = false;
     /** A read of the store has failed since the start. */
     bool m_readFailed = false;
+    /** The last read of the store has failed. */
+    bool m_storeAway = false;
+    /** End of the last pause of this process. */
+    time_point m_resumedAt;
     std::optional<awaited_view> m_awaited;
     time_point m_askMembersAfter;
     bool m_introduced = false;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -50,8 +50,10 @@
     if (reading.configRead && reading.backendsRead) {
         noteFresh(reading.startedAt, now);
         m_schedule.noteSuccess();
+        m_storeAway = false;
     } else {
         m_readFailed = true;
+        m_storeAway = true;
         m_schedule.noteFailure(now, m_members.rank(now), m_members.countAlive(now));
     }
     bool changed = false;
@@ -279,9 +281,17 @@
     return m_backends.expireLapsed(now);
 }
 
-void fleet_state::noteSuspended(time_point now)
+void fleet_state::notePaused(time_point now)
 {
     m_schedule.distrust(now);
+    m_resumedAt = now;
+    m_awaited.reset();
+}
+
+bool fleet_state::isSuspect(time_point now) const
+{
+    const time_point freshAt = m_schedule.freshAt();
+    return m_complete && !m_storeAway && (freshAt < m_resumedAt || now - freshAt > outageAge);
 }
 
 void fleet_state::startLeaving()
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -434,10 +434,53 @@
 {
     fleet_state entry(member("e1"));
     entry.applyReading(reading(start, 3, {}), start);
-    entry.noteSuspended(start + milliseconds(10));
+    entry.notePaused(start + milliseconds(10));
     cr_assert_leq(entry.nextRead(start), start + milliseconds(10));
 }
 
+Test(the_process_was_suspended, its_view_is_suspect_until_it_is_read_again)
+{
+    fleet_state entry(member("e1"));
+    cr_assert_not(entry.isSuspect(start));
+    entry.applyReading(reading(start, 3, {}), start);
+    cr_assert_not(entry.isSuspect(start + milliseconds(100)));
+    entry.notePaused(start + milliseconds(200));
+    cr_assert(entry.isSuspect(start + milliseconds(200)));
+    entry.applyReading(reading(start + milliseconds(210), 3, {}), start + milliseconds(210));
+    cr_assert_not(entry.isSuspect(start + milliseconds(220)));
+}
+
+TestSuite(the_process_was_paused_by_a_signal);
+
+Test(the_process_was_paused_by_a_signal, its_view_is_suspect_until_it_is_read_again)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    const time_point woken = start + seconds(6);
+    cr_assert(entry.isSuspect(woken));
+    entry.applyReading(reading(woken, 3, {}), woken);
+    cr_assert_not(entry.isSuspect(woken));
+}
+
+Test(the_process_was_paused_by_a_signal, a_read_that_began_before_is_not_enough)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    const time_point woken = start + seconds(6);
+    entry.notePaused(woken);
+    entry.applyReading(reading(start + milliseconds(700), 3, {}), woken);
+    cr_assert(entry.isSuspect(woken));
+    cr_assert_leq(entry.nextRead(woken), woken);
+}
+
+Test(the_process_was_paused_by_a_signal, an_old_view_is_not_suspect_while_the_store_is_away)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {}), start);
+    entry.applyReading(failedReading(start + seconds(1)), start + seconds(1));
+    cr_assert_not(entry.isSuspect(start + seconds(6)));
+}
+
 TestSuite(an_entry_shuts_down);
 
 Test(an_entry_shuts_down, callers_are_not_sent_to_it_any_more)
--- a/libs/http/include/cardamomdeck/http/httpserver.h
+++ b/libs/http/include/cardamomdeck/http/httpserver.h
@@ -24,7 +24,7 @@
 public:
     virtual ~http_session() = default;
 
-    /** Calls @p notify once if the caller closes its connection before the handler returns. */
+    /** Calls @p notify once if the caller closes its connection before the handler returns; at once if it has. */
     virtual void watchCaller(std::function<void()> notify) = 0;
 
     /** Closes the connection instead of writing an answer. */
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -228,6 +228,13 @@
     co_return result;
 }
 
+asio::awaitable<exchange_result>
+http_connection::exchange(http_request request, message_limits limits, time_point deadline)
+{
+    // No default argument: GCC 12 destroys temporaries of an awaited call twice.
+    return exchange(std::move(request), limits, deadline, answer_rules());
+}
+
 bool http_connection::isIdle() const
 {
     return m_state->open && !m_state->busy;
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -118,8 +118,9 @@
     beast::error_code ignored;
     m_state->acceptor.close(ignored);
     const std::set<connection *> sessions = m_state->sessions;
+    const time_point now = steady::now();
     for (connection *const session : sessions) {
-        session->closeIfIdle();
+        session->closeIfIdle(now);
     }
 }
 
--- a/libs/http/src/private/serverconnection.h
+++ b/libs/http/src/private/serverconnection.h
@@ -54,8 +54,8 @@
 
     boost::asio::awaitable<void> run();
 
-    /** Closes the connection if it is between two requests. */
-    void closeIfIdle();
+    /** Closes the connection if it is between two requests, or has not carried one for some time. */
+    void closeIfIdle(time_point now);
 
     /** Ends what has taken too long at @p now. */
     void sweep(time_point now);
@@ -97,6 +97,8 @@
     read_phase m_phase = read_phase::idle;
     time_point m_readUntil;
     std::optional<time_point> m_writeUntil;
+    /** Until then the first request is waited for, also by a server that stops. */
+    time_point m_firstRequestUntil;
     bool m_writing = false;
     bool m_timedOut = false;
     /** The last answer has been written; nothing more is served. */
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -25,9 +25,15 @@
 /** Room in the buffer beyond the largest head, in bytes. */
 constexpr std::size_t bodyReadBytes = 65536;
 
+/** Part of the budget for large requests; callers that stop in their bodies leave the rest to others. */
+constexpr double requestPart = 0.4;
+
 /** Bytes of a body that are read before its memory is taken from the budget. */
 constexpr std::size_t bodyStep = 16U * 1024U;
 
+/** Time for which a new connection of a stopping server may wait for its request, which follows at once mostly. */
+constexpr milliseconds firstRequestTime{500};
+
 /** Time for which a closed connection is still read, so that its last answer is not lost by a reset. */
 constexpr milliseconds lingerTime{1000};
 
@@ -58,6 +64,10 @@
 public:
     void watchCaller(std::function<void()> notify) override
     {
+        if (gone) {
+            notify();
+            return;
+        }
         callerGone = std::move(notify);
     }
 
@@ -78,7 +88,8 @@
     std::function<void()> callerGone;
     bool keepAlive = true;
     bool abandoned = false;
-    bool served = false;
+    /** The caller has closed the connection. */
+    bool gone = false;
 };
 
 http_server::connection::connection(tcp::socket socket, std::shared_ptr<http_server::state> server)
@@ -86,6 +97,7 @@
     , m_buffer(server->options.limits.headBytes + bodyReadBytes)
     , m_server(std::move(server))
     , m_room(m_socket.get_executor(), time_point::max())
+    , m_firstRequestUntil(steady::now() + firstRequestTime)
 {
     m_server->sessions.insert(this);
     enter(read_phase::idle);
@@ -231,7 +243,7 @@
     parser.header_limit(limits.headBytes);
     parser.body_limit(limits.bodyBytes);
     byte_budget *const budget = m_server->options.budget;
-    byte_budget::lease memory = budget != nullptr ? budget->open() : byte_budget::lease();
+    byte_budget::lease memory = budget != nullptr ? budget->open(requestPart) : byte_budget::lease();
     if (!co_await readHead(parser) || !co_await readBody(parser, memory)) {
         co_return false;
     }
@@ -243,6 +255,7 @@
     const auto entry = std::make_shared<exchange>();
     entry->keepAlive = parser.keep_alive();
     entry->request = parser.release();
+    m_firstRequestUntil = time_point::min();
     entry->requestMemory = std::move(memory);
     m_pending.push_back(entry);
     serve(entry);
@@ -340,6 +353,7 @@
 void http_server::connection::noteCallerGone()
 {
     for (const exchange_ptr &entry : m_pending) {
+        entry->gone = true;
         if (const auto notify = std::move(entry->callerGone)) {
             entry->callerGone = nullptr;
             notify();
@@ -347,8 +361,11 @@
     }
 }
 
-void http_server::connection::closeIfIdle()
+void http_server::connection::closeIfIdle(time_point now)
 {
+    if (now < m_firstRequestUntil) {
+        return;
+    }
     // A request that has arrived and was not read yet would be lost with the connection.
     beast::error_code ignored;
     if (m_phase == read_phase::idle && m_pending.empty() && m_buffer.size() == 0 && m_socket.available(ignored) == 0) {
@@ -363,7 +380,10 @@
         close();
         return;
     }
-    if (now < m_readUntil) {
+    if (m_server->stopped) {
+        closeIfIdle(now);
+    }
+    if (m_closed || now < m_readUntil) {
         return;
     }
     switch (m_phase) {
--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-constexpr milliseconds longEnough{2000};
-
 socket_address freeAddress()
 {
     asio::io_context context;
@@ -142,6 +140,28 @@
     cr_assert(served::received(kept).ends_with("two"));
 }
 
+Test(a_server_stops_under_load, a_connection_that_was_just_made_may_send_its_request)
+{
+    served entry(echo);
+    tcp::socket made = entry.connect("");
+    entry.run();
+    entry.server.stopGracefully();
+    entry.run();
+    asio::write(made, asio::buffer(post("late")));
+    entry.run();
+    cr_assert(served::received(made).ends_with("late"));
+}
+
+Test(a_server_stops_under_load, a_connection_without_a_request_does_not_keep_it)
+{
+    served entry(echo);
+    const tcp::socket made = entry.connect("");
+    entry.run();
+    entry.server.stopGracefully();
+    entry.run(milliseconds(1200));
+    cr_assert_eq(entry.server.connectionCount(), 0);
+}
+
 TestSuite(memory_for_bodies_is_bound);
 
 Test(memory_for_bodies_is_bound, a_request_without_room_is_refused_and_the_others_are_served)
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -69,6 +69,7 @@
     """An entry; all entries of a fleet share ports, so each has a loopback address of its own."""
 
     def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a"):
+        self.memory_mb = 160
         self.host = host
         self.traffic, self.readiness, self.resolver, self.api = (f"{host}:{port}" for port in ports[:4])
         self.settings_path = Path(directory) / f"{name}.toml"
@@ -85,6 +86,11 @@
 readiness = "{self.readiness}"
 registry = "{self.resolver}"
 control = "{self.api}"
+[limits]
+cpu_share = 1.0
+memory_mb = {self.memory_mb}
+max_fds = 4100
+link_mbps = 1000.0
 [platform]
 address = "{store.address}"
 """)
@@ -101,6 +107,10 @@
         return ask(self.traffic, method, path, body, {"Host": HOST, "Attempt-Id": attempt,
                                                       "Deadline-Ms": str(deadline_ms)} | headers)
 
+    def peak_memory_mb(self):
+        status = Path(f"/proc/{self.child.pid}/status").read_text()
+        return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
+
     def lines(self, event, **fields):
         wanted = [f"event={event} "] + [f"{key}={value}" for key, value in fields.items()]
         return [line for line in self.log().splitlines() if all(part in line for part in wanted)]
--- /dev/null
+++ b/tests/system/rawbackend.py
@@ -0,0 +1,124 @@
+"""A back end that answers health checks as it should and sends other answers byte by byte as a test wants them."""
+
+import socket
+import threading
+import time
+
+from fleet import free_port
+
+CHUNK = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
+
+
+class RawBackend:
+    """Registered in the store like a PlatformBackend; `mode` names what it does with requests."""
+
+    def __init__(self, store, name, service="lots", mode="ok"):
+        self.store, self.name, self.service, self.mode = store, name, service, mode
+        self.port = free_port()
+        self.requests = []
+        self.sequence, self.born = 0, int(time.time() * 1000)
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
+        threading.Thread(target=self.accept_loop, daemon=True).start()
+        self.report()
+
+    def report(self, state="ready"):
+        self.sequence += 1
+        self.store.write("keyed.servers", self.name, {
+            "address": f"127.0.0.1:{self.port}", "born": self.born,
+            "info": {"service": self.service, "config_version": "v1", "zone": "zone-a", "capacity": 200},
+            "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0}})
+
+    def end(self):
+        self.listener.close()
+
+    def accept_loop(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection:
+            try:
+                while request := self.read(connection):
+                    path, identity = request
+                    if path == "/health":
+                        load = f"Server-Load: 0,0,200,100\r\nInstance-Id: {self.name}\r\n"
+                        connection.sendall(f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode())
+                        continue
+                    self.requests.append(identity)
+                    getattr(self, self.mode)(connection, identity)
+            except OSError:
+                pass  # The entry has closed the connection.
+
+    def read(self, connection):
+        """Path and id of the next request, without its body."""
+        head = b""
+        while b"\r\n\r\n" not in head:
+            part = connection.recv(4096)
+            if not part:
+                return None
+            head += part
+        lines = head.decode("latin-1").split("\r\n")
+        ids = [line.split(":", 1)[1].strip() for line in lines if line.lower().startswith("attempt-id:")]
+        return lines[0].split(" ")[1], ids[0] if ids else ""
+
+    def head(self, identity, *fields):
+        return "\r\n".join(["HTTP/1.1 200 OK", f"Attempt-Id: {identity}", f"Server-Seal: {self.name}", *fields,
+                            "", ""]).encode()
+
+    def answer(self, identity, size=0):
+        body = (identity + "." * max(0, size - len(identity))).encode()
+        return self.head(identity, f"Content-Length: {len(body)}") + body
+
+    def forever(self, connection, part):
+        while True:
+            connection.sendall(part)
+
+    def ok(self, connection, identity):
+        connection.sendall(self.answer(identity))
+
+    def large(self, connection, identity):
+        connection.sendall(self.answer(identity, 2_000_000))
+
+    def second_copy(self, connection, identity):
+        """The copy comes when the connection carries another request already, or a moment after the answer."""
+        connection.sendall(self.answer(identity))
+        time.sleep(0.01)
+        connection.sendall(self.answer(identity))
+
+    def cut(self, connection, identity):
+        connection.sendall(self.head(identity, "Content-Length: 1000") + b"half")
+        connection.close()
+
+    def cut_chunked(self, connection, identity):
+        connection.sendall(self.head(identity, "Transfer-Encoding: chunked") + CHUNK)
+        connection.close()
+
+    def reset_unframed(self, connection, identity):
+        connection.sendall(self.head(identity) + b"half")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        connection.close()
+
+    def endless_chunks(self, connection, identity):
+        connection.sendall(self.head(identity, "Transfer-Encoding: chunked"))
+        self.forever(connection, CHUNK * 64)
+
+    def endless_unframed(self, connection, identity):
+        connection.sendall(self.head(identity))
+        self.forever(connection, b"x" * 65536)
+
+    def endless_interim(self, connection, _identity):
+        self.forever(connection, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64)
+
+    def endless_others(self, connection, identity):
+        self.forever(connection, self.answer("other-" + identity, 10_000))
+
+    def endless_head(self, connection, _identity):
+        connection.sendall(b"HTTP/1.1 200 OK\r\n")
+        self.forever(connection, b"a: " + b"x" * 1000 + b"\r\n")
+
+    def endless_noise(self, connection, _identity):
+        self.forever(connection, b"\x7f" * 65536)
--- /dev/null
+++ b/tests/system/restart_test.py
@@ -0,0 +1,128 @@
+"""What has left, been withdrawn or run out stays so through restarts, pauses and stops of entries."""
+
+import signal
+import tempfile
+import threading
+import time
+import unittest
+
+from fleet import ask, wait_until
+from platformfleet import PlatformFleet, route
+
+PAUSE_SECONDS = 3.0
+
+
+class WithThreeEntries(unittest.TestCase):
+    def setUp(self):
+        self.directory = self.enterContext(tempfile.TemporaryDirectory())
+        self.fleet = PlatformFleet(self.directory, entries=3)
+        self.addCleanup(self.fleet.end)
+        self.store = self.fleet.store
+        self.backends = [self.fleet.add_backend("s-1"), self.fleet.add_backend("s-2")]
+        self.store.put_config(5, {"lots": route("/lots/"), "old": route("/old/"),
+                                  "weigh": route("/weigh/", kind="unsafe")})
+        self.fleet.wait_until_serving()
+
+
+class Restarts(WithThreeEntries):
+    def test_what_was_withdrawn_is_not_in_use_again_beside_a_peer_that_slept(self):
+        sleeper = self.fleet.entries[0]
+        sleeper.signal(signal.SIGSTOP)
+        self.store.put_config(6, {"lots": route("/lots/")})
+        self.backends[0].remove()
+        time.sleep(PAUSE_SECONDS)
+        for entry in self.fleet.entries[1:]:
+            entry.kill()
+        # The sleeper is the only seed, and wakes with its old view when the others start.
+        again = [self.fleet.start_entry(number) for number in (1, 2)]
+        sleeper.signal(signal.SIGCONT)
+        started = self.backends[0].counts()["started"]
+        deadline = time.monotonic() + 3
+        while time.monotonic() < deadline:
+            for entry in again:
+                self.assertIn(entry.send("/old/x").status, (404, 503, 0))
+                self.assertIn(entry.send("/lots/x").status, (200, 503, 0))
+        self.assertEqual(self.backends[0].counts()["started"], started)
+        self.assertEqual(again[0].send("/lots/x").status, 200)
+
+    def test_an_entry_that_leaves_while_the_store_is_away_is_not_written_to_it_later(self):
+        fleet = PlatformFleet(self.enterContext(tempfile.TemporaryDirectory()), entries=1, seeds=())
+        self.addCleanup(fleet.end)
+        fleet.store.control(mode="down")
+        time.sleep(1.5)
+        fleet.entries[0].signal(signal.SIGTERM)
+        time.sleep(0.3)
+        fleet.store.control(mode="ok")
+        fleet.entries[0].child.wait(timeout=6)
+        self.assertNotIn("entry-0", fleet.store.keys("keyed.members"))
+
+
+class Pauses(WithThreeEntries):
+    def test_a_woken_entry_does_not_act_on_what_it_knew_before(self):
+        sleeper = self.fleet.entries[2]
+        for version in (10, 20, 30):
+            sleeper.signal(signal.SIGSTOP)
+            self.store.put_config(version, {"lots": route("/lots/")})
+            self.backends[0].report("draining")
+            time.sleep(PAUSE_SECONDS)
+            started = self.backends[0].counts()["started"]
+            told = []
+            callers = [threading.Thread(target=lambda path=path: told.append((path, sleeper.send(path).status)))
+                       for path in ("/old/x", "/lots/x") * 10]
+            for caller in callers:
+                caller.start()
+            time.sleep(0.2)
+            sleeper.signal(signal.SIGCONT)
+            for caller in callers:
+                caller.join()
+            self.assertEqual({status for path, status in told if path == "/old/x"}, {404})
+            self.assertEqual(self.backends[0].counts()["started"], started)
+            # A later incarnation for the next round.
+            self.backends[0].born += 1000
+            self.backends[0].report("ready")
+            self.store.put_config(version + 5, {"lots": route("/lots/"), "old": route("/old/")})
+            wait_until(lambda: sleeper.send("/old/x").status == 200, 3, "the rule is back")
+
+    def test_a_request_whose_caller_has_gone_meanwhile_is_not_sent(self):
+        entry = self.fleet.entries[2]
+        entry.signal(signal.SIGSTOP)
+        answer = ask(entry.traffic, "POST", "/weigh/x", b"1",
+                     {"Host": "mill.example", "Attempt-Id": "gone", "Deadline-Ms": "500"}, timeout=0.5)
+        self.assertEqual(answer.status, 0)
+        time.sleep(1)
+        entry.signal(signal.SIGCONT)
+        time.sleep(0.7)
+        ran = [identity for backend in self.backends for identity in backend.counts()["ids"]]
+        self.assertNotIn("gone", ran)
+
+
+class Stops(WithThreeEntries):
+    def test_requests_that_were_just_accepted_are_answered_when_an_entry_stops_under_load(self):
+        entry = self.fleet.entries[2]
+        for backend in self.backends:
+            backend.control(service_ms=5)
+        stop = threading.Event()
+        cut = []
+
+        def call(number):
+            for turn in range(100_000):
+                answer = entry.send("/lots/x", attempt=f"c{number}-{turn}", deadline_ms=1500)
+                if answer.status == 0:
+                    if b"refused" in answer.body or stop.is_set():
+                        return
+                    cut.append(answer.body)
+
+        callers = [threading.Thread(target=call, args=(number,)) for number in range(24)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        entry.signal(signal.SIGTERM)
+        entry.child.wait(timeout=6)
+        stop.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(cut, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
