--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -213,6 +213,20 @@
     return refuse(code, unreadyPause);
 }
 
+http_response gateway_path::refuseUnsent(const http_request &request, result_code code) const
+{
+    log_line("request_refused")
+        .add("id", platform::decodeCaller(request).requestId)
+        .add("host", hostOf(request))
+        .add("path", pathOf(request))
+        .add("code", infoOf(code).name)
+        .add("config", m_view->config->version)
+        .add("leaving", m_leaving ? "true" : "false")
+        .add("body_bytes_in_use", m_memory.used())
+        .info();
+    return refuse(code, unreadyPause);
+}
+
 std::string gateway_path::serviceFor(const traffic_rule &rule)
 {
     if (rule.services.size() == 1) {
@@ -236,26 +250,14 @@
     co_await awaitTrustedView();
     const std::uint64_t version = m_view->config->version;
     if (version == 0 || m_refusing) {
-        co_return refuse(version == 0 ? result_code::view_stale : result_code::overloaded, unreadyPause);
+        co_return refuseUnsent(request, version == 0 ? result_code::view_stale : result_code::overloaded);
     }
     const traffic_rule_ptr rule = m_rules.find(hostOf(request), pathOf(request));
     if (!rule) {
-        log_line("request_unmatched")
-            .add("host", hostOf(request))
-            .add("path", pathOf(request))
-            .add("config", version)
-            .info();
-        co_return refuse(result_code::route_unknown, unreadyPause);
+        co_return refuseUnsent(request, result_code::route_unknown);
     }
     if (m_memory.isAbove(refusedAbove)) {
-        log_line("request_refused")
-            .add("id", platform::decodeCaller(request).requestId)
-            .add("rule", rule->name)
-            .add("code", infoOf(result_code::memory_short).name)
-            .add("bytes_in_use", m_memory.used())
-            .add("bytes_limit", m_memory.limit())
-            .warn();
-        co_return refuse(result_code::memory_short, unreadyPause);
+        co_return refuseUnsent(request, result_code::memory_short);
     }
     const count_guard inHand(m_requestsInHand);
     co_return co_await forward(request, session, rule, arrival);
@@ -302,7 +304,7 @@
     forwarded_request forwarded;
     forwarded.service = m_directory.find(service);
     if (!forwarded.service) {
-        co_return refuse(result_code::no_backend, unreadyPause);
+        co_return refuseUnsent(request, result_code::no_backend);
     }
     removeHopByHopHeaders(request);
     request.erase(boost::beast::http::field::expect);
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -83,6 +83,8 @@
     http_response answerAddresses(const caller_place &place);
     http_response refuse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnread(result_code code) const;
+    /** Refuses a request of which nothing has been sent to a back end, and logs why. */
+    http_response refuseUnsent(const http_request &request, result_code code) const;
     std::string serviceFor(const traffic_rule &rule);
 
     const platform::platform_settings &m_settings;
--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -13,7 +13,6 @@
 # A part of the VM's memory that the process stays under, and the VM's size in the settings of the fleet.
 MEMORY_PART = 0.6
 TIMEOUT = 6.0
-ENDLESS = ("endless_chunks", "endless_unframed", "endless_interim", "endless_others", "endless_head", "endless_noise")
 
 
 class WithOneEntry(unittest.TestCase):
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -47,6 +47,14 @@
         for entry in entries:
             wait_until(lambda: set(entry.addresses()) == expected, what="both addresses are named")
 
+    def test_a_request_that_was_never_sent_leaves_a_line_that_says_why(self):
+        entry = self.serve(gone=route("/gone/", service="nobody"))[0]
+        for path, code in (("/other/x", "route_unknown"), ("/gone/x", "no_backend")):
+            entry.send(path, attempt=f"refused-{code}")
+            line = wait_until(lambda: entry.lines("request_refused", id=f"refused-{code}"), what="the line")[0]
+            for part in (f"code={code}", "config=5", "leaving=false"):
+                self.assertIn(part, line)
+
     def test_the_id_of_a_request_leads_through_the_log(self):
         entry = self.serve()[0]
         entry.send("/lots/x", attempt="followed")
