--- a/libs/base/include/cardamomdeck/base/suspension.h
+++ b/libs/base/include/cardamomdeck/base/suspension.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Notices that the process did not run for some time: the machine was suspended, during which the monotonic clock stands
- * still, or the process was stopped or starved.
+ * Notices that the process did not run for some time: the machine was suspended, during which the monotonic clock
+ * stands still, or the process was stopped or starved.
  */
 #pragma once
 
--- a/libs/base/src/compression.cpp
+++ b/libs/base/src/compression.cpp
@@ -41,7 +41,8 @@
 std::string compress(std::string_view text, std::string_view base)
 {
     const compression_context context(ZSTD_createCCtx());
-    const int window = std::clamp(static_cast<int>(std::bit_width(base.size() + text.size())), smallestWindow, largestWindow);
+    const int window
+        = std::clamp(static_cast<int>(std::bit_width(base.size() + text.size())), smallestWindow, largestWindow);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, level);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, window);
--- a/libs/fleet/include/cardamomdeck/fleet/confighistory.h
+++ b/libs/fleet/include/cardamomdeck/fleet/confighistory.h
@@ -44,8 +44,8 @@
     const config_transfer &transferFrom(std::uint64_t known);
 
     /**
-     * The text of @p transfer. Errors: base_unknown when its base is not kept, frame_malformed when it is damaged or was
-     * made from another text of that version, frame_too_large.
+     * The text of @p transfer. Errors: base_unknown when its base is not kept, frame_malformed when it is damaged or
+     * was made from another text of that version, frame_too_large.
      */
     boost::leaf::result<std::string> restore(const config_transfer &transfer) const;
 
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -172,7 +172,7 @@
     bool m_complete = false;
     /** A read of the store has failed since the start. */
     bool m_readFailed = false;
-    /** The last read of the store has failed. */
+    /** A read of the store has failed, and no fresh view has come since. */
     bool m_storeAway = false;
     /** End of the last pause of this process. */
     time_point m_resumedAt;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -43,6 +43,8 @@
     }
     m_schedule.noteFresh(at);
     m_complete = true;
+    // Also when a peer has read it.
+    m_storeAway = false;
 }
 
 bool fleet_state::applyReading(const store_reading &reading, time_point now)
@@ -50,7 +52,6 @@
     if (reading.configRead && reading.backendsRead) {
         noteFresh(reading.startedAt, now);
         m_schedule.noteSuccess();
-        m_storeAway = false;
     } else {
         m_readFailed = true;
         m_storeAway = true;
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -228,8 +228,9 @@
 
 std::size_t member_table::rank(time_point now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_peers, [&](const auto &item) { return comesBefore(item.second.member, m_self) && isAlive(item.second, now); }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [&](const auto &item) {
+        return comesBefore(item.second.member, m_self) && isAlive(item.second, now);
+    }));
 }
 
 }
--- a/libs/fleet/src/peernotice.cpp
+++ b/libs/fleet/src/peernotice.cpp
@@ -17,7 +17,8 @@
 /** Arrays instead of objects keep heartbeats small. */
 json toJson(const fleet_member &member)
 {
-    return json::array({member.name, member.zone, member.host, member.bornMs, member.ready, member.leaving, member.readCapacity});
+    return json::array(
+        {member.name, member.zone, member.host, member.bornMs, member.ready, member.leaving, member.readCapacity});
 }
 
 fleet_member memberFromJson(const json &fields)
@@ -111,8 +112,7 @@
     if (!config) {
         return json::array();
     }
-    return json::array(
-        {config->version, config->base, json::binary({config->bytes.begin(), config->bytes.end()})});
+    return json::array({config->version, config->base, json::binary({config->bytes.begin(), config->bytes.end()})});
 }
 
 std::optional<config_transfer> configFromJson(const json &fields)
@@ -137,8 +137,7 @@
     for (const fleet_member &member : answer.members) {
         members.push_back(toJson(member));
     }
-    return json::array(
-        {toJson(answer.position), toJson(answer.config), recordsToJson(answer.backends, now), members});
+    return json::array({toJson(answer.position), toJson(answer.config), recordsToJson(answer.backends, now), members});
 }
 
 view_answer answerFromJson(const json &fields, time_point now)
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -481,6 +481,17 @@
     cr_assert_not(entry.isSuspect(start + seconds(6)));
 }
 
+Test(the_process_was_paused_by_a_signal, its_view_is_suspect_also_when_only_its_peers_reach_the_store)
+{
+    fleet_state cutOff(member("e1"));
+    cutOff.applyReading(reading(start, 3, {}), start);
+    cutOff.applyReading(failedReading(start + seconds(1)), start + seconds(1));
+    fleet_state peer(member("e2"));
+    peer.applyReading(reading(start + seconds(2), 3, {}), start + seconds(2));
+    exchange(peer, cutOff, start + seconds(2));
+    cr_assert(cutOff.isSuspect(start + seconds(8)));
+}
+
 TestSuite(an_entry_shuts_down);
 
 Test(an_entry_shuts_down, callers_are_not_sent_to_it_any_more)
--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -81,8 +81,7 @@
     exchange(http_request request, message_limits limits, time_point deadline, answer_rules rules);
 
     /** The same, taking the first answer for its own. */
-    boost::asio::awaitable<exchange_result>
-    exchange(http_request request, message_limits limits, time_point deadline);
+    boost::asio::awaitable<exchange_result> exchange(http_request request, message_limits limits, time_point deadline);
 
     /** True when the connection is open and between exchanges, as far as is known without asking the system. */
     bool isIdle() const;
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import contextlib
 import random
 import shutil
@@ -23,12 +24,16 @@
 from faultproxy import MODES, FaultProxy  # noqa: E402
 from fleet import wait_until  # noqa: E402
 from platformfleet import PlatformFleet, route  # noqa: E402
+from rawbackend import RawBackend  # noqa: E402
 
 REPORT_SECONDS = 0.5
 SETTLE_SECONDS = 6.0
 # Bounds of the pages: a change is in force, and a draining server gets nothing, after 2 s; disturbed for 3 s after a fault.
 IN_FORCE_SECONDS, DRAIN_SECONDS, CONTACT_SECONDS = 2.0, 2.0, 3.0
 BACKEND_MODES = ("ok", "refuse", "fail_fast", "answer_late", "unsealed", "cut")
+# Of a back end that sends its bytes as it likes: second copies, answers that break off, and such without end.
+RAW_MODES = ("second_copy", "cut", "cut_chunked", "reset_unframed", "endless_chunks", "endless_unframed",
+             "endless_interim", "endless_others")
 # A rule's timeout ends a request with an answer; the margin is the promised half second and the loopback's own time.
 ANSWER_SECONDS = TIMEOUT + 0.6
 
@@ -43,6 +48,7 @@
         # Times of acknowledgements by version; (start, end) of faults of the store and of pauses; drains seen.
         self.acknowledged, self.unstable, self.late_work = {}, [], []
         self.backends = [self.fleet.add_backend(f"s-{number}", service_ms=8) for number in range(backends)]
+        self.raw = RawBackend(self.fleet.store, "raw-1")
 
     def note(self, fault):
         self.faults.append(f"{time.monotonic() - self.began:.2f} {fault}")
@@ -67,7 +73,7 @@
 
     async def report_loop(self):
         while True:
-            for backend in self.backends:
+            for backend in [*self.backends, self.raw]:
                 await self.in_store(backend.report, getattr(backend, "state", "ready"))
             await asyncio.sleep(REPORT_SECONDS)
 
@@ -105,7 +111,7 @@
             self.unstable[self.unstable.index(fault)] = (fault[0], time.monotonic() + CONTACT_SECONDS)
 
     async def disturb(self, until):
-        kinds = [self.kill, self.terminate, self.pause, self.cut_backend, self.spoil_backend, self.store_away,
+        kinds = [self.kill, self.terminate, self.pause, self.cut_backend, self.spoil_backend, self.spoil_raw, self.store_away,
                  self.new_config, self.drain_backend]
         # Few kinds at a time leave room for the bounds of time to be checked; many kinds overlap.
         kinds = self.random.sample(kinds, self.random.randint(2, len(kinds))) + [self.new_config]
@@ -114,6 +120,7 @@
             running.add(asyncio.create_task(self.random.choice(kinds)()))
             await asyncio.sleep(self.random.uniform(0.1, 0.9))
         await asyncio.gather(*running)
+        self.raw.mode = "ok"
         for proxy in self.proxies:
             proxy.set_mode("ok")
         for backend in self.backends:
@@ -158,7 +165,8 @@
         self.disturbed[entry.name] = time.monotonic() + 60
         with self.instability():
             entry.signal(signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.1, 2.0))
+            # Some last longer than what the entry knew may be acted on.
+            await asyncio.sleep(self.random.uniform(0.1, 4.0))
             if entry.child.poll() is None:
                 entry.signal(signal.SIGCONT)
         self.disturbed[entry.name] = time.monotonic() + TIMEOUT
@@ -179,6 +187,12 @@
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         await asyncio.to_thread(self.control, backend, "ok")
 
+    async def spoil_raw(self):
+        self.raw.mode = self.random.choice(RAW_MODES)
+        self.note(f"back end {self.raw.name} {self.raw.mode}")
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        self.raw.mode = "ok"
+
     @staticmethod
     def control(backend, mode):
         from fleet import ask
@@ -239,7 +253,7 @@
     def check(self, settled):
         """Every broken promise, as text."""
         from fleet import ask
-        runs = {}
+        runs = dict(collections.Counter(self.raw.requests))
         for backend in self.backends:
             counts = ask(backend.direct, "GET", "/counts").json
             for identity, count in counts["runs"].items():
@@ -273,6 +287,7 @@
         broken = asyncio.run(soak.run())
     finally:
         soak.fleet.end()
+        soak.raw.end()
     served = sum(request.status == 200 for request in soak.told)
     print(f"seed={seed} requests={len(soak.told)} served={served} faults={len(soak.faults)} broken={len(broken)}")
     if broken:
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -45,7 +45,7 @@
                 while request := self.read(connection):
                     path, identity = request
                     if path == "/health":
-                        load = f"Server-Load: 0,0,200,100\r\nInstance-Id: {self.name}\r\n"
+                        load = f"Server-Load: 0,0,2,100\r\nInstance-Id: {self.name}\r\n"
                         connection.sendall(f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode())
                         continue
                     self.requests.append(identity)
