Let requests wait for a view once after a pause only, and for no longer than a read takes

Ruled out: back ends (their queues were empty), the starts beside it.

Only a noticed pause makes a view suspect now, for 0.2 s at most, and a read that fails ends that as one that succeeds.

--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -20,8 +20,7 @@
 /** Requests of one connection that are served at once. */
 constexpr std::size_t pipelineDepth = 16;
 
-/** Longest time for which requests wait for a view after a pause; a read of the store takes some 20 ms. */
-constexpr milliseconds trustPatience{200};
+/** Period in which requests that wait for a view after a pause look for it. */
 constexpr milliseconds trustPoll{5};
 
 /** Pause that callers are asked for while this entry cannot serve them. */
@@ -238,8 +237,7 @@
 
 asio::awaitable<void> gateway_path::awaitTrustedView()
 {
-    const time_point until = steady::now() + trustPatience;
-    while (m_viewSuspect() && steady::now() < until) {
+    while (m_viewSuspect()) {
         co_await sleepUntil(steady::now() + trustPoll);
     }
 }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -113,10 +113,10 @@
     /** Makes the next read due at once, and older views untrusted: the process did not run until @p now. */
     void notePaused(time_point now);
 
-    /**
-     * True when the view is from before a pause of this process, or as old as in an outage though no read has failed:
-     * what may still be used will be known in a moment.
-     */
+    /** Longest time after a pause for which a view from before it is suspect; a read of the store takes some 20 ms. */
+    static constexpr milliseconds suspicionTime{200};
+
+    /** True for a moment after a pause of this process, until the view has been read anew or a read has failed. */
     bool isSuspect(time_point now) const;
 
     /** This entry begins to shut down. */
@@ -172,8 +172,8 @@
     bool m_complete = false;
     /** A read of the store has failed since the start. */
     bool m_readFailed = false;
-    /** A read of the store has failed, and no fresh view has come since. */
-    bool m_storeAway = false;
+    /** When the last read of the store that failed had begun. */
+    time_point m_failedReadAt;
     /** End of the last pause of this process. */
     time_point m_resumedAt;
     std::optional<awaited_view> m_awaited;
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -43,8 +43,6 @@
     }
     m_schedule.noteFresh(at);
     m_complete = true;
-    // Also when a peer has read it.
-    m_storeAway = false;
 }
 
 bool fleet_state::applyReading(const store_reading &reading, time_point now)
@@ -54,7 +52,7 @@
         m_schedule.noteSuccess();
     } else {
         m_readFailed = true;
-        m_storeAway = true;
+        m_failedReadAt = reading.startedAt;
         m_schedule.noteFailure(now, m_members.rank(now), m_members.countAlive(now));
     }
     bool changed = false;
@@ -291,8 +289,8 @@
 
 bool fleet_state::isSuspect(time_point now) const
 {
-    const time_point freshAt = m_schedule.freshAt();
-    return m_complete && !m_storeAway && (freshAt < m_resumedAt || now - freshAt > outageAge);
+    const bool confirmed = std::max(m_schedule.freshAt(), m_failedReadAt) >= m_resumedAt;
+    return m_complete && !confirmed && now < m_resumedAt + suspicionTime;
 }
 
 void fleet_state::startLeaving()
--- a/libs/fleet/src/ruletable.cpp
+++ b/libs/fleet/src/ruletable.cpp
@@ -28,8 +28,8 @@
     }
     for (auto &[host, rules] : m_hosts) {
         std::ranges::sort(rules.prefixLengths, std::greater());
-        const auto repeated = std::ranges::unique(rules.prefixLengths);
-        rules.prefixLengths.erase(repeated.begin(), repeated.end());
+        const auto repeated = std::unique(rules.prefixLengths.begin(), rules.prefixLengths.end());
+        rules.prefixLengths.erase(repeated, rules.prefixLengths.end());
     }
 }
 
