Take a starved process for a stopped one less often

Not shown by a trace: with 3001 back ends a starved entry's looks at the clocks are a second apart; as paused it drops what peers tell and reads everything itself, which keeps it starved, and so do all. A pause counts from 2 s on, and not twice within 2.9 s; a suspension counts as before.

--- a/libs/base/include/cardamomdeck/base/suspension.h
+++ b/libs/base/include/cardamomdeck/base/suspension.h
@@ -39,8 +39,13 @@
 class pause_meter
 {
 public:
-    /** Time between two looks above which the process counts as paused; it looks each 0.4 s and more often. */
-    static constexpr milliseconds shortestPause{1000};
+    /** Time between two looks above which the process counts as stopped; a starved one looks each second. */
+    static constexpr milliseconds shortestPause{2000};
+    /**
+     * Time after a pause in which no further one is told. What follows a pause costs work, and a process that is
+     * starved would be kept so by it.
+     */
+    static constexpr milliseconds quietTime{2900};
 
     /** A meter that was looked at for the last time at @p now. */
     explicit pause_meter(time_point now, suspension_meter suspension = suspension_meter());
@@ -50,6 +55,7 @@
 
 private:
     time_point m_lookedAt;
+    time_point m_quietUntil;
     suspension_meter m_suspension;
 };
 
--- a/libs/base/src/suspension.cpp
+++ b/libs/base/src/suspension.cpp
@@ -1,5 +1,6 @@
 #include "cardamomdeck/base/suspension.h"
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -41,7 +42,12 @@
 {
     const nanoseconds stopped = now - m_lookedAt;
     m_lookedAt = now;
-    return m_suspension.look() + (stopped < shortestPause ? nanoseconds(0) : stopped);
+    const nanoseconds suspended = m_suspension.look();
+    if (suspended == nanoseconds(0) && (stopped < shortestPause || now < m_quietUntil)) {
+        return nanoseconds(0);
+    }
+    m_quietUntil = now + quietTime;
+    return std::max(suspended, stopped);
 }
 
 }
--- a/libs/base/tests/suspensiontest.cpp
+++ b/libs/base/tests/suspensiontest.cpp
@@ -44,3 +44,18 @@
     total = seconds(5);
     cr_assert_eq(meter.look(start + milliseconds(10)), seconds(5));
 }
+
+Test(a_process_is_stopped, one_that_is_starved_is_not_kept_so_by_what_follows_a_pause)
+{
+    const time_point start{seconds(1000)};
+    pause_meter meter(start, suspension_meter([] { return nanoseconds(0); }));
+    int told = 0;
+    for (milliseconds at{0}; at < seconds(30); at += milliseconds(1500)) {
+        told += meter.look(start + at).count() > 0 ? 1 : 0;
+    }
+    cr_assert_eq(told, 0);
+    for (milliseconds at{30'000}; at < seconds(60); at += milliseconds(2500)) {
+        told += meter.look(start + at).count() > 0 ? 1 : 0;
+    }
+    cr_assert_leq(told, 6);
+}
