--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -25,6 +25,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <thread>
 
 namespace cardamomdeck {
@@ -209,5 +210,8 @@
 
 int main(int argc, char **argv)
 {
-    return cardamomdeck::runDaemon(argc, argv);
+    const int exitCode = cardamomdeck::runDaemon(argc, argv);
+    // The log is written. The destructors of log4cplus wait for its thread pool, which may never end.
+    std::fflush(nullptr);
+    std::quick_exit(exitCode);
 }
--- a/libs/base/include/cardamomdeck/base/logline.h
+++ b/libs/base/include/cardamomdeck/base/logline.h
@@ -50,7 +50,7 @@
 /** Lines that were dropped since the start, because there were too many or the output was blocked. */
 std::uint64_t droppedLogLines();
 
-/** Flushes and closes the log. */
+/** Writes the lines that wait; later ones are dropped. */
 void stopLogging();
 
 }
--- a/libs/base/src/logline.cpp
+++ b/libs/base/src/logline.cpp
@@ -135,7 +135,6 @@
 void stopLogging()
 {
     queue().reset();
-    initializer().reset();
 }
 
 }
--- a/libs/base/src/logqueue.cpp
+++ b/libs/base/src/logqueue.cpp
@@ -71,12 +71,16 @@
 
 void log_queue::run()
 {
-    while (!m_stopping) {
+    for (;;) {
+        // Read in this order: the signal of an end that is not seen here ends the wait.
         const std::uint32_t seen = m_signal;
+        const bool stopping = m_stopping;
         writeAll();
+        if (stopping) {
+            return;
+        }
         m_signal.wait(seen);
     }
-    writeAll();
 }
 
 void log_queue::writeAll()
--- a/libs/base/tests/logqueuetest.cpp
+++ b/libs/base/tests/logqueuetest.cpp
@@ -43,6 +43,23 @@
     cr_assert_eq(written.back(), "event=log_lines_dropped count=" + std::to_string(dropped));
 }
 
+TestSuite(a_queue_is_ended_while_its_thread_is_about_to_wait);
+
+Test(a_queue_is_ended_while_its_thread_is_about_to_wait, the_thread_ends_each_time, .timeout = 60)
+{
+    constexpr int rounds = 20'000;
+    int written = 0;
+    for (int i = 0; i < rounds; ++i) {
+        log_queue queue([&](log_severity, const std::string &) { ++written; });
+        cr_assert(queue.push(log_severity::info, "last line"));
+        // The thread has this line behind it, or not yet, or has just begun to look for more.
+        for (int spin = 0; spin < i % 200; ++spin) {
+            std::atomic_signal_fence(std::memory_order_seq_cst);
+        }
+    }
+    cr_assert_eq(written, rounds);
+}
+
 TestSuite(the_volume_is_bounded);
 
 Test(the_volume_is_bounded, over_a_long_time_by_the_rate)
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -128,8 +128,9 @@
     def __init__(self, directory, entries=2, seeds=("127.0.1.1",)):
         self.directory, self.seeds = directory, seeds
         self.store = Store(directory)
-        # Free at the address of an entry: fleets that run side by side use the same addresses.
-        self.ports = [free_port("127.0.1.1") for _ in range(5)]
+        # Fleets that run side by side use the same addresses; the last of these ports is followed by one more.
+        first = free_port("127.0.1.1", count=6)
+        self.ports = list(range(first, first + 5))
         self.backends = {}
         self.entries = []
         for number in range(entries):
@@ -152,7 +153,7 @@
 
     def wait_until_serving(self, path="/lots/x"):
         for entry in self.entries:
-            wait_until(lambda: entry.send(path).status == 200, what=f"{entry.name} serves")
+            wait_until(lambda: entry.send(path).status == 200, what=f"{entry.name} serves", reporter=entry)
 
     def end(self):
         for process in [*self.entries, *self.backends.values(), self.store]:
