Serve a connection that was accepted just before the server stopped

Under load an accept is completed at once and its completion waits in the queue; when the stop came in between, the loop saw a closed acceptor and dropped the connection. A step-by-step test of the stop fails after one step without the change. The end of the daemon also stopped asking before that connection counted, or without a graceful stop at all when nothing was in hand at the first look. Ruled out: the earlier end of the process (the connection was closed, not reset).

--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -143,9 +143,16 @@
     co_await sleepUntil(start + partOf(m_settings.bounds.stopGrace, acceptPart));
     m_path.refuseNew();
     const time_point end = start + partOf(m_settings.bounds.stopGrace, endPart);
-    while (steady::now() < end && (m_path.requestsInHand() > 0 || m_path.callerConnections() > 0)) {
-        if (m_path.requestsInHand() == 0) {
+    bool stopped = false;
+    while (steady::now() < end) {
+        const bool idle = m_path.requestsInHand() == 0;
+        if (idle && stopped && m_path.callerConnections() == 0) {
+            co_return;
+        }
+        if (idle) {
             m_path.stop();
+            // What is accepted last counts as a connection only when its task has begun.
+            stopped = true;
         }
         co_await sleepUntil(steady::now() + finishPoll);
     }
--- a/libs/http/src/httpserver.cpp
+++ b/libs/http/src/httpserver.cpp
@@ -29,14 +29,14 @@
     const auto self = shared_from_this();
     while (acceptor.is_open()) {
         auto [error, socket] = co_await acceptor.async_accept(asTuple);
-        if (!acceptor.is_open()) {
-            co_return;
+        if (!error && sessions.size() < options.maxConnections) {
+            // Also one that was accepted just before the acceptor was closed.
+            serve(std::move(socket));
+            continue;
         }
-        if (error || sessions.size() >= options.maxConnections) {
+        if (acceptor.is_open()) {
             co_await sleepUntil(steady::now() + acceptPause);
-            continue;
         }
-        serve(std::move(socket));
     }
 }
 
--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -140,6 +140,26 @@
     cr_assert(served::received(kept).ends_with("two"));
 }
 
+Test(a_server_stops_under_load, at_whatever_step_of_accepting_it_is_asked_to)
+{
+    constexpr int mostSteps = 30;
+    for (int steps = 0; steps < mostSteps; ++steps) {
+        served entry(echo);
+        std::vector<tcp::socket> waiting;
+        for (int i = 0; i < 3; ++i) {
+            waiting.push_back(entry.connect(post("new")));
+        }
+        for (int step = 0; step < steps; ++step) {
+            entry.context.poll_one();
+        }
+        entry.server.stopGracefully();
+        entry.run(milliseconds(20));
+        for (tcp::socket &socket : waiting) {
+            cr_assert(served::received(socket).ends_with("new"), "stopped after %d steps", steps);
+        }
+    }
+}
+
 Test(a_server_stops_under_load, a_connection_that_was_just_made_may_send_its_request)
 {
     served entry(echo);
