Read long listings and many reports in several calls to the store, each with its own deadline

Found with it: a read of reports that stopped at one answer (1 MB) counted as complete, so a view passed for fresh without the reports behind it (6 requests to a draining server 2 s after its report, test); an entry that knew rules but no servers said it was ready. Now each call has 0.9 s, a page that is lost is asked for again, reads go on to the end of the topic, and what was read before a failure holds without making the view fresh. The stand-in of the store answers in pages. Test: platform_test.py ManyServers, both failed before; storeclienttest, fleetstatetest. Also: starting entries greet their seeds at growing pauses.

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -24,8 +24,8 @@
 /** Period of heartbeats; a quarter of the silence after which a member counts as down. */
 constexpr milliseconds heartbeatPeriod{400};
 
-/** Longest time for one call to the store; a slow store answers within some 0.3 s. */
-constexpr milliseconds storeTimeout{900};
+/** Longest time for reading the store; a listing of 11,000 servers takes 22 calls. */
+constexpr milliseconds readTimeout{5000};
 
 /**
  * Time for which a starting entry waits for a peer that has a view; an answer from another zone takes some 5 ms, and
@@ -36,8 +36,9 @@
 /** Time after which a starting entry reads the store also while a peer that has a view is being asked. */
 constexpr milliseconds firstViewPatience{250};
 
-/** Period in which a starting entry greets the seeds. */
-constexpr milliseconds greetingPeriod{10};
+/** First and longest pause between greetings of a starting entry; some hundred may greet the same seeds. */
+constexpr milliseconds firstGreetingPause{10};
+constexpr milliseconds longestGreetingPause{80};
 
 /** Time for which relayed news are waited for before the sender is asked, and by which such questions are spread. */
 constexpr milliseconds relayPatience{250};
@@ -89,6 +90,7 @@
 asio::awaitable<void> fleet_control::learnFirstView()
 {
     const time_point begun = steady::now();
+    milliseconds pause = firstGreetingPause;
     while (!m_state.isComplete()) {
         const milliseconds patience = m_asking > 0 ? firstViewPatience : peerPatience;
         if (steady::now() >= begun + patience) {
@@ -96,7 +98,8 @@
             co_return;
         }
         sendHeartbeat();
-        co_await sleepUntil(steady::now() + greetingPeriod);
+        co_await sleepUntil(steady::now() + pause);
+        pause = std::min(pause * 2, longestGreetingPause);
     }
 }
 
@@ -118,7 +121,7 @@
 {
     store_reading reading;
     reading.startedAt = steady::now();
-    const time_point deadline = reading.startedAt + storeTimeout;
+    const time_point deadline = reading.startedAt + readTimeout;
     const view_position before = m_state.position();
     const bool first = !m_state.isComplete();
     co_await m_reader.read(reading, deadline);
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -171,7 +171,7 @@
 asio::awaitable<http_response> gateway_path::answerQuestion(http_request &request)
 {
     if (platform::isReadinessQuestion(request)) {
-        const bool ready = !m_leaving && m_view->config->version > 0;
+        const bool ready = !m_leaving && m_view->ready;
         co_return makeResponse(ready ? 200 : 503, "{}");
     }
     if (const auto question = platform::decodeAddressQuestion(request)) {
--- a/daemon/gateway/memberdirectory.cpp
+++ b/daemon/gateway/memberdirectory.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/** Longest time for one call to the store. */
-constexpr milliseconds callTimeout{900};
-
 /** Pause before the entry announces itself to the store again. */
 constexpr milliseconds announcePause{1500};
 
@@ -47,7 +44,7 @@
         m_mayBeAnnounced = true;
         const std::string record = platform::encodeMember(m_state.members().self());
         const result_code written = co_await m_store.write(
-            store_topic::members, m_state.members().self().name, record, steady::now() + callTimeout);
+            store_topic::members, m_state.members().self().name, record, steady::now() + platform::longestStoreCall);
         if (written == result_code::ok) {
             m_announced = true;
             log_line("announced").add("entry", m_state.members().self().name).info();
@@ -60,7 +57,8 @@
 
 asio::awaitable<void> member_directory::read()
 {
-    const platform::keyed_read read = co_await m_store.readNewest(store_topic::members, steady::now() + callTimeout);
+    const platform::keyed_read read
+        = co_await m_store.readNewest(store_topic::members, steady::now() + platform::longestStoreCall);
     m_noteStore(read.code == result_code::ok);
     if (read.code != result_code::ok) {
         co_return;
@@ -98,8 +96,8 @@
     if (!m_mayBeAnnounced) {
         co_return;
     }
-    const result_code written
-        = co_await m_store.write(store_topic::members, m_state.members().self().name, {}, steady::now() + callTimeout);
+    const result_code written = co_await m_store.write(
+        store_topic::members, m_state.members().self().name, {}, steady::now() + platform::longestStoreCall);
     log_line("withdrawn").add("code", infoOf(written).name).info();
 }
 
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -65,7 +65,7 @@
         read = co_await m_store.readNewest(store_topic::backend_servers, deadline);
         reading.completeListing = true;
     }
-    if (read.code != result_code::ok) {
+    if (read.code != result_code::ok && (reading.completeListing || read.records.empty())) {
         co_return false;
     }
     reading.backendsEnd = read.end;
@@ -81,7 +81,7 @@
         }
         reading.backends.push_back(std::move(record));
     }
-    co_return true;
+    co_return read.code == result_code::ok;
 }
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -148,6 +148,7 @@
 
 private:
     bool installConfig(config_source source);
+    void updateReadiness();
     void noteFresh(time_point at, time_point now);
     bool applyBackends(const store_reading &reading, time_point now);
     bool fitsNotice(const std::vector<backend_record> &records) const;
--- a/libs/fleet/include/cardamomdeck/fleet/fleetview.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetview.h
@@ -23,6 +23,8 @@
     traffic_config_ptr config = std::make_shared<traffic_config>();
     /** Backend servers that may receive work; never null, and another object when one of them has changed. */
     backends_by_service_ptr backends = std::make_shared<backends_by_service>();
+    /** This entry knows rules and backend servers, and is not leaving. */
+    bool ready = false;
     /** Entries that callers may use. */
     std::vector<fleet_member> readyMembers;
     /** Live entries, this one included; shares of fleet-wide budgets are divided by it. */
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -32,10 +32,17 @@
     m_configTexts.add(source.config.version, std::move(source.text));
     m_config = std::make_shared<traffic_config>(std::move(source.config));
     m_wholeConfigWanted = false;
-    m_members.setReady();
     return true;
 }
 
+void fleet_state::updateReadiness()
+{
+    const bool backendsKnown = m_complete || m_backends.end() > 0;
+    if (m_config->version > 0 && backendsKnown) {
+        m_members.setReady();
+    }
+}
+
 void fleet_state::noteFresh(time_point at, time_point now)
 {
     if (m_complete && at - m_schedule.freshAt() > outageAge) {
@@ -61,7 +68,11 @@
     if (reading.configRead) {
         m_configEnd = std::max(m_configEnd, reading.configEnd);
     }
-    return (reading.backendsRead && applyBackends(reading, now)) || changed;
+    // Reports that were read before a later call failed hold, but do not make the view fresh.
+    const bool usable = reading.backendsRead || !reading.completeListing;
+    changed = (usable && applyBackends(reading, now)) || changed;
+    updateReadiness();
+    return changed;
 }
 
 bool fleet_state::applyBackends(const store_reading &reading, time_point now)
@@ -123,6 +134,7 @@
     noteFresh(now - *notice.age, now);
     m_configEnd = std::max(m_configEnd, notice.position.configEnd);
     m_backends.advanceTo(notice.position.backendsEnd);
+    updateReadiness();
     return result;
 }
 
@@ -150,6 +162,7 @@
         }
     }
     noteAwaited(now);
+    updateReadiness();
     return changed;
 }
 
@@ -178,6 +191,7 @@
         m_backends.advanceTo(answer.position.backendsEnd);
     }
     noteAwaited(now);
+    updateReadiness();
     return changed;
 }
 
@@ -332,6 +346,7 @@
     auto view = std::make_shared<fleet_view>();
     view->config = m_config;
     view->backends = m_backends.usable();
+    view->ready = m_members.self().ready;
     view->readyMembers = m_members.ready(now);
     view->liveMembers = m_members.countAlive(now);
     return view;
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -503,6 +503,40 @@
     }
 }
 
+TestSuite(an_entry_knows_rules_but_no_servers);
+
+Test(an_entry_knows_rules_but_no_servers, callers_are_sent_to_it_when_the_servers_are_known_too)
+{
+    fleet_state entry(member("e1"));
+    store_reading onlyRules = reading(start, 3, {});
+    onlyRules.backendsRead = false;
+    onlyRules.completeListing = true;
+    entry.applyReading(onlyRules, start);
+    cr_assert_not(entry.view(start)->ready);
+    cr_assert(entry.view(start)->readyMembers.empty());
+    store_reading onlyServers = reading(start, 3, {backend("s", 0)});
+    onlyServers.configRead = false;
+    onlyServers.config.reset();
+    entry.applyReading(onlyServers, start);
+    cr_assert(entry.view(start)->ready);
+    cr_assert_eq(entry.view(start)->readyMembers.size(), 1);
+}
+
+TestSuite(reports_come_in_several_answers_of_the_store);
+
+Test(reports_come_in_several_answers_of_the_store, those_before_a_failed_call_hold_and_the_view_is_not_fresh)
+{
+    fleet_state entry(member("e1"));
+    entry.applyReading(reading(start, 3, {backend("s", 0)}), start);
+    const time_point later = start + seconds(1);
+    store_reading part = reading(later, 3, {backend("t", 1)});
+    part.backendsRead = false;
+    cr_assert(entry.applyReading(part, later));
+    cr_assert_eq(entry.view(later)->backends->at("lots").size(), 2);
+    cr_assert_eq(entry.position().backendsEnd, 2);
+    cr_assert_eq(entry.freshAt(), start);
+}
+
 TestSuite(an_entry_shuts_down);
 
 Test(an_entry_shuts_down, callers_are_not_sent_to_it_any_more)
--- a/standins/keyedtopics.cpp
+++ b/standins/keyedtopics.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::size_t lengthBytes = 4;
 
+/** Records in one page of newest records, and bytes in one answer to a read, as the platform's store has them. */
+constexpr std::size_t pageRecords = 500;
+constexpr std::size_t readBytes = 1024U * 1024U;
+
 std::string queryValue(const std::string &target, const std::string &name)
 {
     const auto position = target.find(name + "=");
@@ -47,25 +51,30 @@
     }
     if (path == "/v1/log-newest") {
         ++m_calls;
-        return newest(named);
+        return newest(named, queryValue(target, "after"));
     }
     return std::nullopt;
 }
 
 http_response keyed_topics::append(topic &target, const std::string &body)
 {
-    const std::uint64_t offset = target.end();
-    // One record a call is all that the tests and the daemon send.
-    const auto keySize = static_cast<unsigned char>(body.at(lengthBytes));
-    const std::string key = body.substr(lengthBytes + 1, keySize);
-    const std::string value = body.substr(lengthBytes + 1 + keySize);
-    target.records.push_back(body);
-    if (value.empty()) {
-        target.newest.erase(key);
-    } else {
-        target.newest[key] = {offset, value};
+    const std::uint64_t first = target.end();
+    for (std::size_t start = 0; start < body.size();) {
+        const auto length = boost::endian::endian_load<std::uint32_t, lengthBytes, boost::endian::order::big>(
+            reinterpret_cast<const unsigned char *>(body.data() + start));
+        const std::string record = body.substr(start, lengthBytes + length);
+        const auto keySize = static_cast<unsigned char>(record.at(lengthBytes));
+        const std::string key = record.substr(lengthBytes + 1, keySize);
+        const std::string value = record.substr(lengthBytes + 1 + keySize);
+        if (value.empty()) {
+            target.newest.erase(key);
+        } else {
+            target.newest[key] = {target.end(), value};
+        }
+        target.records.push_back(record);
+        start += record.size();
     }
-    return makeResponse(200, json({{"offset", offset}, {"end", target.end()}}).dump());
+    return makeResponse(200, json({{"offset", first}, {"end", target.end()}}).dump());
 }
 
 http_response keyed_topics::read(const topic &target, std::uint64_t from) const
@@ -74,19 +83,22 @@
         return makeResponse(410, json({{"first", target.first}}).dump());
     }
     std::string body = bigEndian(target.end()) + bigEndian(target.first);
-    for (std::uint64_t offset = from; offset < target.end(); ++offset) {
+    for (std::uint64_t offset = from; offset < target.end() && body.size() < readBytes; ++offset) {
         body += target.records[offset - target.first];
     }
     return makeResponse(200, body, "application/octet-stream");
 }
 
-http_response keyed_topics::newest(const topic &target) const
+http_response keyed_topics::newest(const topic &target, const std::string &after) const
 {
     json items = json::array();
-    for (const auto &[key, record] : target.newest) {
+    auto position = after.empty() ? target.newest.begin() : target.newest.upper_bound(after);
+    for (; position != target.newest.end() && items.size() < pageRecords; ++position) {
+        const auto &[key, record] = *position;
         items.push_back({{"key", key}, {"value", absl::Base64Escape(record.second)}, {"offset", record.first}});
     }
-    return makeResponse(200, json({{"items", items}, {"more", false}, {"end", target.end()}}).dump());
+    const bool more = position != target.newest.end();
+    return makeResponse(200, json({{"items", items}, {"more", more}, {"end", target.end()}}).dump());
 }
 
 void keyed_topics::compact()
--- a/standins/keyedtopics.h
+++ b/standins/keyedtopics.h
@@ -42,7 +42,7 @@
 
     http_response append(topic &target, const std::string &body);
     http_response read(const topic &target, std::uint64_t from) const;
-    http_response newest(const topic &target) const;
+    http_response newest(const topic &target, const std::string &after) const;
 
     std::map<std::string, topic> m_topics;
     std::uint64_t m_calls = 0;
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -8,7 +8,7 @@
 import unittest
 
 from fleet import BIN, ask, wait_until
-from platformfleet import PlatformFleet, route
+from platformfleet import PlatformFleet, backend_report, route
 
 DRAIN_SECONDS = 2.0
 APPLY_SECONDS = 2.0
@@ -159,6 +159,44 @@
         wait_until(lambda: again.send("/lots/x").status == 200, 5, "the new entry serves")
 
 
+class ManyServers(OnThePlatform):
+    """More servers than one call to the store returns."""
+
+    COUNT = 1600
+
+    def setUp(self):
+        super().setUp()
+        self.serve()
+        self.report_all(sequence=1)
+
+    def report_all(self, sequence, **values):
+        born = 1_700_000_000_000
+        self.store.write_all("keyed.servers", {f"desk-{number:05}": backend_report(
+            f"127.1.{number // 250}.{number % 250 + 1}:9", "desk", sequence=sequence, born=born, **values)
+            for number in range(self.COUNT)})
+
+    def test_all_entries_start_again_while_each_page_of_the_listing_takes_long(self):
+        for entry in self.fleet.entries:
+            entry.kill()
+        self.store.control(delay_ms=350)
+        for number in range(2):
+            self.fleet.start_entry(number)
+        self.fleet.wait_until_serving()
+
+    def test_reports_beyond_one_answer_of_the_store_are_read_before_the_view_counts_as_fresh(self):
+        # Some three megabytes between two reads; an answer holds one.
+        for sequence in range(2, 10):
+            self.report_all(sequence)
+        self.fleet.backends["s-1"].report("draining")
+        drained_at = time.monotonic()
+        time.sleep(max(0.0, drained_at + DRAIN_SECONDS - time.monotonic()))
+        before = self.fleet.backends["s-1"].counts()["started"]
+        for entry in self.fleet.entries:
+            for number in range(20):
+                entry.send("/lots/x", attempt=f"{entry.name}-{number}")
+        self.assertEqual(self.fleet.backends["s-1"].counts()["started"], before)
+
+
 class Leaving(OnThePlatform):
     def assert_no_new_work(self, backend):
         time.sleep(DRAIN_SECONDS)
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -29,6 +29,10 @@
         body = record(key, value if isinstance(value, bytes) else json.dumps(value).encode())
         assert ask(self.address, "POST", f"/v1/log-append?topic={topic}&part=0", body).status == 200
 
+    def write_all(self, topic, values):
+        body = b"".join(record(key, json.dumps(value).encode()) for key, value in values.items())
+        assert ask(self.address, "POST", f"/v1/log-append?topic={topic}&part=0", body).status == 200
+
     def keys(self, topic):
         answer = ask(self.address, "GET", f"/v1/log-newest?topic={topic}&part=0")
         return [item["key"] for item in answer.json["items"]] if answer.status == 200 else []
@@ -48,6 +52,12 @@
             "priority": 1, "service": service, "max_attempts": 2} | more
 
 
+def backend_report(address, service, zone="zone-a", sequence=1, state="ready", born=None):
+    return {"address": address, "born": born or int(time.time() * 1000),
+            "info": {"service": service, "config_version": "v1", "zone": zone, "capacity": 2},
+            "status": {"state": state, "sequence": sequence, "warmup_left_s": 0}}
+
+
 class PlatformBackend(Backend):
     """A back end with its record in the store."""
 
@@ -57,10 +67,8 @@
 
     def report(self, state="ready"):
         self.sequence += 1
-        self.store.write("keyed.servers", self.name, {
-            "address": self.address, "born": self.born,
-            "info": {"service": self.service, "config_version": "v1", "zone": self.zone, "capacity": 2},
-            "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0}})
+        self.store.write("keyed.servers", self.name, backend_report(
+            self.address, self.service, self.zone, self.sequence, state, self.born))
 
     def remove(self):
         self.store.write("keyed.servers", self.name, b"")
