Bound the search for a store that is away for the whole fleet

The store is busy from 18 to 26 s; 307 of 312 entries tried again every 1.5 to 3 s with two calls each. The others now try some 25 times a second together; the pause follows the present rank, so that whoever becomes first looks at once, and it ends when others have read. The check that each entry reads within 3 s after an outage stood for 'its return is noticed in time'; in its place: within 0.4 s at 15 to 1,000 entries, also when up to eight of the first have gone by then (fleet_test, the_store_is_away).

--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -315,6 +315,10 @@
         co_await sleepUntil(steady::now() + heartbeatPeriod);
         checkPause();
         m_state.expire(steady::now());
+        if (m_state.nextRead(steady::now()) < m_readTimer.expiry()) {
+            // Entries before this one have gone, and its reads are due sooner.
+            m_readTimer.cancel();
+        }
         sendHeartbeat();
         publish();
     }
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -44,17 +44,19 @@
     static constexpr milliseconds longestPause{1600};
     /** Entries, first by rank, that keep these pauses, and so notice that the store has returned. */
     static constexpr std::size_t watchers = 5;
+    /** Shortest pause of the others, which hear of the return from the first; spread by rank, from half of it on. */
+    static constexpr milliseconds otherPause{3000};
     /**
-     * Pause of the others, which hear of the return from the first; spread by rank, from half of it on. Not longer
-     * than the 3 s after a disturbance in which changes need not be in force yet.
+     * Part of it for each live entry above that: the others of a whole fleet try some 25 times a second, so that one
+     * of them finds the store back within 0.1 s even when it turns the first ones away.
      */
-    static constexpr milliseconds otherPause{3000};
+    static constexpr milliseconds otherPausePerMember{50};
 
     /** Notes that the view was known to be complete at @p at. */
     void noteFresh(time_point at);
 
-    /** Notes a read that failed at @p now, of the entry of rank @p rank among @p members live ones. */
-    void noteFailure(time_point now, std::size_t rank, std::size_t members);
+    /** Notes a read that failed at @p now. */
+    void noteFailure(time_point now);
 
     /** Notes a read of this entry that succeeded. */
     void noteSuccess();
@@ -69,8 +71,11 @@
     time_point freshAt() const;
 
 private:
+    time_point pausedUntil(std::size_t rank, std::size_t members) const;
+
     time_point m_freshAt;
-    time_point m_pausedUntil;
+    time_point m_failedAt = time_point::min();
+    /** Pause after the last failed read while this entry is one of the first; 0 if the last read succeeded. */
     milliseconds m_pause{0};
 };
 
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -59,7 +59,7 @@
         m_schedule.noteSuccess();
     } else {
         m_failedReadAt = reading.startedAt;
-        m_schedule.noteFailure(now, m_members.rank(now), m_members.countAlive(now));
+        m_schedule.noteFailure(now);
     }
     bool changed = false;
     if (reading.config) {
--- a/libs/fleet/src/readschedule.cpp
+++ b/libs/fleet/src/readschedule.cpp
@@ -27,16 +27,10 @@
     m_freshAt = std::max(m_freshAt, at);
 }
 
-void read_schedule::noteFailure(time_point now, std::size_t rank, std::size_t members)
+void read_schedule::noteFailure(time_point now)
 {
-    if (rank >= watchers) {
-        const auto later = static_cast<milliseconds::rep>(rank);
-        const auto entries = static_cast<milliseconds::rep>(std::max(rank + 1, members));
-        m_pausedUntil = now + otherPause / 2 + otherPause * later / (2 * entries);
-        return;
-    }
     m_pause = std::clamp(m_pause * 2, shortestPause, longestPause);
-    m_pausedUntil = now + m_pause;
+    m_failedAt = now;
 }
 
 void read_schedule::noteSuccess()
@@ -47,10 +41,27 @@
 void read_schedule::distrust(time_point now)
 {
     m_freshAt = std::min(m_freshAt, now - lastAge);
-    m_pausedUntil = now;
     m_pause = milliseconds(0);
 }
 
+time_point read_schedule::pausedUntil(std::size_t rank, std::size_t members) const
+{
+    if (m_pause == milliseconds(0)) {
+        return time_point::min();
+    }
+    if (rank < watchers) {
+        return m_failedAt + m_pause;
+    }
+    if (m_freshAt > m_failedAt) {
+        // Others have read since.
+        return time_point::min();
+    }
+    const auto later = static_cast<milliseconds::rep>(rank);
+    const auto entries = static_cast<milliseconds::rep>(std::max(rank + 1, members));
+    const milliseconds pause = std::max(otherPause, otherPausePerMember * entries);
+    return m_failedAt + pause / 2 + pause * later / (2 * entries);
+}
+
 time_point read_schedule::nextRead(std::size_t rank, std::size_t members) const
 {
     const auto steps = static_cast<microseconds::rep>(rank);
@@ -58,7 +69,7 @@
     const microseconds step = std::min(lastAgeStep, lastAgeSpread / entries);
     const microseconds latest = lastAge - step * (entries - steps);
     const microseconds age = std::min<microseconds>(latest, firstAge + ageStep * steps);
-    return std::max(m_freshAt + age, m_pausedUntil);
+    return std::max(m_freshAt + age, pausedUntil(rank, members));
 }
 
 time_point read_schedule::freshAt() const
