--- a/daemon/connectionpool.cpp
+++ b/daemon/connectionpool.cpp
@@ -60,6 +60,18 @@
     }
 }
 
+void connection_pool::dropUnusable()
+{
+    for (auto &[backend, idle] : m_idle) {
+        std::erase_if(idle, [](const connection_ptr &connection) { return !connection->isReusable(); });
+    }
+}
+
+void connection_pool::dropUnknown(const std::function<bool(const std::string &)> &isKnown)
+{
+    std::erase_if(m_idle, [&](const auto &item) { return !isKnown(item.first); });
+}
+
 std::size_t connection_pool::idleCount() const
 {
     std::size_t count = 0;
--- a/daemon/connectionpool.h
+++ b/daemon/connectionpool.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
 class connection_pool
 {
 public:
+    /** Age of the last proof of life above which a connection is not used; servers close idle ones after 10 s. */
+    static constexpr milliseconds idleLimit{8000};
+
     /** A pool whose connections run on @p executor. */
     explicit connection_pool(boost::asio::any_io_executor executor);
 
@@ -44,6 +48,12 @@
     /** Closes all idle connections that have not proved alive since @p provenSince. */
     void dropAllUnproven(time_point provenSince);
 
+    /** Closes idle connections that the other end has closed, or on which it sends what nobody asked for. */
+    void dropUnusable();
+
+    /** Closes the idle connections to back ends that @p isKnown does not know any more. */
+    void dropUnknown(const std::function<bool(const std::string &)> &isKnown);
+
     /** Idle connections held now. */
     std::size_t idleCount() const;
 
--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -19,9 +19,6 @@
 /** Longest time that a probe may take before its connection is given up. */
 constexpr milliseconds probeTimeout{400};
 
-/** Age of the last proof of life above which an idle connection is not used; servers close idle ones after 10 s. */
-constexpr milliseconds idleLimit{8000};
-
 /** Time for which a server that takes no work, or has lost its address, is left alone. */
 constexpr milliseconds avoidTime{1000};
 
@@ -75,7 +72,7 @@
     probe_result result;
     result.backend = backend;
     const time_point deadline = steady::now() + probeTimeout;
-    connection_ptr connection = m_pool.takeIdle(backend->server.id, steady::now() - idleLimit);
+    connection_ptr connection = m_pool.takeIdle(backend->server.id, steady::now() - connection_pool::idleLimit);
     bool reused = connection != nullptr;
     for (;;) {
         if (!connection) {
--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -3,6 +3,7 @@
 #include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/asynctools.h"
+#include "cardamomdeck/http/tasks.h"
 #include "cardamomdeck/platform/exchangeheaders.h"
 #include "cardamomdeck/platform/ingresscodec.h"
 
@@ -38,6 +39,12 @@
  */
 constexpr double refusedAbove = 0.85;
 
+/**
+ * Period in which idle connections to back ends are looked at. What a back end sends on one without being asked fills
+ * the socket's buffer in the meantime.
+ */
+constexpr milliseconds idlePeriod{1000};
+
 /** Part of the descriptors for callers; the others are for back ends, peers, the store and files. */
 constexpr double callerPart = 0.6;
 
@@ -106,9 +113,20 @@
             return code;
         }
     }
+    startLoop(m_forwarding.context, "idle_connections", [this] { return dropIdleConnections(); });
     return result_code::ok;
 }
 
+asio::awaitable<void> gateway_path::dropIdleConnections()
+{
+    for (;;) {
+        co_await sleepUntil(steady::now() + idlePeriod);
+        m_pool.dropUnknown([this](const std::string &id) { return m_directory.hasBackend(id); });
+        m_pool.dropAllUnproven(steady::now() - connection_pool::idleLimit);
+        m_pool.dropUnusable();
+    }
+}
+
 void gateway_path::install(const fleet_view_ptr &view)
 {
     const bool newConfig = view->config->version != m_view->config->version;
@@ -158,6 +176,11 @@
     return m_memory;
 }
 
+std::size_t gateway_path::idleConnections() const
+{
+    return m_pool.idleCount();
+}
+
 const std::map<std::string, service_traffic_ptr> &gateway_path::services() const
 {
     return m_directory.services();
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -62,6 +62,9 @@
     /** Memory of the bodies of requests and answers. */
     const byte_budget &memory() const;
 
+    /** Connections to backend servers that carry nothing. */
+    std::size_t idleConnections() const;
+
     /** Services and their backend servers. */
     const std::map<std::string, service_traffic_ptr> &services() const;
 
@@ -78,6 +81,8 @@
                 std::uint64_t configVersion,
                 const std::string &service,
                 double tookMs);
+    /** Closes connections to backend servers that cannot be used again. */
+    boost::asio::awaitable<void> dropIdleConnections();
     /** Waits, for a moment at most, until the view is one that was valid after a pause of this process. */
     boost::asio::awaitable<void> awaitTrustedView();
     http_response answerAddresses(const caller_place &place);
--- a/daemon/gateway/operatorpage.cpp
+++ b/daemon/gateway/operatorpage.cpp
@@ -85,6 +85,7 @@
     appendMetric(text, "store_calls_total", "", static_cast<double>(m_control.storeCalls()));
     appendMetric(text, "requests_in_hand", "", static_cast<double>(m_path.requestsInHand()));
     appendMetric(text, "caller_connections", "", static_cast<double>(m_path.callerConnections()));
+    appendMetric(text, "idle_backend_connections", "", static_cast<double>(m_path.idleConnections()));
     appendMetric(text, "body_bytes_in_use", "", static_cast<double>(m_path.memory().used()));
     appendMetric(text, "body_bytes_limit", "", static_cast<double>(m_path.memory().limit()));
     appendMetric(text, "log_lines_dropped_total", "", static_cast<double>(droppedLogLines()));
--- a/daemon/gateway/requestforwarding.cpp
+++ b/daemon/gateway/requestforwarding.cpp
@@ -21,8 +21,7 @@
 /** Longest time for connecting to a backend server; a reachable one accepts within some milliseconds. */
 constexpr milliseconds connectTimeout{300};
 
-/** Age of the last proof of life up to which a connection may carry a request. */
-constexpr milliseconds idempotentProof{8000};
+/** Age of the last proof of life up to which a connection may carry a request that may run once only. */
 constexpr milliseconds atMostOnceProof{50};
 
 /** Connections that may fail before the request is given up. */
@@ -138,7 +137,8 @@
 asio::awaitable<connection_ptr> request_forwarding::openConnection(backend_traffic_ptr backend)
 {
     const time_point now = steady::now();
-    const milliseconds proof = m_request.rule->repeat == repeat_policy::idempotent ? idempotentProof : atMostOnceProof;
+    const milliseconds proof
+        = m_request.rule->repeat == repeat_policy::idempotent ? connection_pool::idleLimit : atMostOnceProof;
     connection_ptr connection = m_context.pool.takeIdle(backend->server.id, now - proof);
     if (!connection) {
         connection = co_await m_context.prober.connect(backend, std::min(m_request.deadline, now + connectTimeout));
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -1,5 +1,7 @@
 #include "servicetraffic.h"
 
+#include <algorithm>
+
 namespace cardamomdeck {
 
 namespace {
@@ -54,6 +56,11 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+bool traffic_directory::hasBackend(const std::string &id) const
+{
+    return std::ranges::any_of(m_services, [&](const auto &item) { return item.second->backends.contains(id); });
+}
+
 const std::map<std::string, service_traffic_ptr> &traffic_directory::services() const
 {
     return m_services;
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -90,6 +90,9 @@
     /** The service called @p name, or null when neither the configuration nor a server names it. */
     service_traffic_ptr find(const std::string &name) const;
 
+    /** True when a service has the server called @p id. */
+    bool hasBackend(const std::string &id) const;
+
     /** All services by name. */
     const std::map<std::string, service_traffic_ptr> &services() const;
 
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -143,6 +143,12 @@
     Removal("platform: looking for the store is bound for the whole fleet",
             "libs/fleet/include/cardamomdeck/fleet/readschedule.h",
             "otherPausePerMember{50}", "otherPausePerMember{0}", "fleet_test"),
+    Removal("platform: idle connections are looked at", "daemon/gateway/gatewaypath.cpp",
+            "m_pool.dropUnusable();", "",
+            "exhaustion_test.py IdleConnections.test_bytes_without_end_after_a_whole_answer_close_the_connection"),
+    Removal("platform: connections to servers that have left are closed", "daemon/gateway/gatewaypath.cpp",
+            "m_pool.dropUnknown([this](const std::string &id) { return m_directory.hasBackend(id); });", "",
+            "exhaustion_test.py IdleConnections.test_those_to_a_server_that_has_left_are_closed"),
     Removal("platform: exceptions of a request are answered", "libs/http/src/serverconnection.cpp",
             'noteTaskFailure("request", std::current_exception());', "throw;", "http_test"),
 ]
--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -128,6 +128,29 @@
         self.assertTrue(line)
 
 
+class IdleConnections(WithOneEntry):
+    """Connections to back ends that carry nothing."""
+
+    CLOSED_SECONDS = 3
+
+    def open_connections(self, count):
+        """Sends @p count requests at once, so that as many connections are opened."""
+        for thread in self.at_once(count, lambda number: self.fleet.entries[0].send("/lots/x", attempt=f"o{number}")):
+            thread.join()
+
+    def test_bytes_without_end_after_a_whole_answer_close_the_connection(self):
+        self.serve("endless_after")
+        self.open_connections(20)
+        wait_until(lambda: self.raw[0].open_connections == 0, self.CLOSED_SECONDS, "all connections are closed")
+
+    def test_those_to_a_server_that_has_left_are_closed(self):
+        self.serve("ok")
+        self.open_connections(20)
+        self.assertGreater(self.raw[0].open_connections, 0)
+        self.raw[0].remove()
+        wait_until(lambda: self.raw[0].open_connections == 0, self.CLOSED_SECONDS, "all connections are closed")
+
+
 class AnswersOfOthers(WithOneEntry):
     def test_a_late_second_copy_never_reaches_another_caller(self):
         entry = self.serve("second_copy")
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -16,6 +16,7 @@
         self.store, self.name, self.service, self.mode = store, name, service, mode
         self.port = free_port()
         self.requests = []
+        self.open_connections = 0
         self.sequence, self.born = 0, int(time.time() * 1000)
         self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
         threading.Thread(target=self.accept_loop, daemon=True).start()
@@ -28,6 +29,9 @@
             "info": {"service": self.service, "config_version": "v1", "zone": "zone-a", "capacity": 200},
             "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0}})
 
+    def remove(self):
+        self.store.write("keyed.servers", self.name, b"")
+
     def end(self):
         self.listener.close()
 
@@ -40,6 +44,7 @@
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
+        self.open_connections += 1
         with connection:
             try:
                 while request := self.read(connection):
@@ -52,6 +57,7 @@
                     getattr(self, self.mode)(connection, identity)
             except OSError:
                 pass  # The entry has closed the connection.
+        self.open_connections -= 1
 
     def read(self, connection):
         """Path and id of the next request, without its body."""
@@ -80,6 +86,11 @@
     def ok(self, connection, identity):
         connection.sendall(self.answer(identity))
 
+    def endless_after(self, connection, identity):
+        connection.sendall(self.answer(identity))
+        time.sleep(0.05)
+        self.forever(connection, b"\x7f" * 65536)
+
     def large(self, connection, identity):
         connection.sendall(self.answer(identity, 2_000_000))
 
