Name only itself to callers for a moment after becoming ready, and forget services and rules that were removed

An entry names itself alone for 0.8 s, and callers keep that for 1 s. Test: fleet_test, a_fleet_starts_all_at_once.

--- a/daemon/gateway/gatewaypath.cpp
+++ b/daemon/gateway/gatewaypath.cpp
@@ -99,6 +99,7 @@
           traffic.get_executor(), [this](http_request &request, http_session &) { return answerQuestion(request); }, {})
     , m_viewSuspect(std::move(viewSuspect))
     , m_view(std::make_shared<fleet_view>())
+    , m_advisor(settings.vmName)
 {
 }
 
@@ -131,6 +132,7 @@
 {
     const bool newConfig = view->config->version != m_view->config->version;
     m_view = view;
+    m_advisor.setReady(view->ready, steady::now());
     m_directory.install(*view);
     if (!newConfig) {
         return;
@@ -205,16 +207,21 @@
 
 http_response gateway_path::answerAddresses(const caller_place &place)
 {
-    const std::vector<fleet_member> entries
-        = chooseEntries(m_view->readyMembers, m_settings.zoneRegions, place, platform::mostAddresses, m_random);
-    if (entries.empty()) {
+    const entry_advice advice = m_advisor.advise(m_view->readyMembers,
+                                                 m_settings.zoneRegions,
+                                                 place,
+                                                 platform::mostAddresses,
+                                                 m_settings.bounds.addressLifetime,
+                                                 steady::now(),
+                                                 m_random);
+    if (advice.entries.empty()) {
         return makeResponse(503, "{}");
     }
     std::vector<std::string> addresses;
-    for (const fleet_member &entry : entries) {
+    for (const fleet_member &entry : advice.entries) {
         addresses.push_back(toString({entry.host, m_settings.traffic.port}));
     }
-    return platform::encodeAddressAnswer(addresses, m_settings.bounds.addressLifetime);
+    return platform::encodeAddressAnswer(addresses, advice.lifetime);
 }
 
 http_response gateway_path::refuse(result_code code, milliseconds retryAfter) const
--- a/daemon/gateway/gatewaypath.h
+++ b/daemon/gateway/gatewaypath.h
@@ -104,6 +104,7 @@
     http_server m_resolver;
     suspicion m_viewSuspect;
     fleet_view_ptr m_view;
+    caller_advisor m_advisor;
     rule_table m_rules;
     request_history m_history;
     /** Splits of the rules, by name; a changed split starts anew. */
--- a/daemon/gateway/servicetraffic.cpp
+++ b/daemon/gateway/servicetraffic.cpp
@@ -1,6 +1,7 @@
 #include "servicetraffic.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cardamomdeck {
 
@@ -26,6 +27,9 @@
     if (view.config == m_config && view.backends == m_backends) {
         return;
     }
+    if (view.config != m_config) {
+        forgetRemoved(view);
+    }
     m_config = view.config;
     m_backends = view.backends;
     for (const auto &[name, profile] : view.config->services) {
@@ -50,6 +54,20 @@
     }
 }
 
+void traffic_directory::forgetRemoved(const fleet_view &view)
+{
+    std::erase_if(m_services, [&](const auto &item) {
+        return !view.config->services.contains(item.first) && !view.backends->contains(item.first);
+    });
+    std::set<std::string> rules;
+    for (const traffic_rule &rule : view.config->rules) {
+        rules.insert(rule.name);
+    }
+    for (const auto &[name, service] : m_services) {
+        std::erase_if(service->ruleWorkMs, [&](const auto &item) { return !rules.contains(item.first); });
+    }
+}
+
 service_traffic_ptr traffic_directory::find(const std::string &name) const
 {
     const auto found = m_services.find(name);
--- a/daemon/gateway/servicetraffic.h
+++ b/daemon/gateway/servicetraffic.h
@@ -97,6 +97,9 @@
     const std::map<std::string, service_traffic_ptr> &services() const;
 
 private:
+    /** Forgets services and rules that are not configured any more. */
+    void forgetRemoved(const fleet_view &view);
+
     std::string m_entry;
     repeat_limits m_limits;
     double m_probesPerBackend;
--- a/libs/fleet/include/cardamomdeck/fleet/entrychoice.h
+++ b/libs/fleet/include/cardamomdeck/fleet/entrychoice.h
@@ -4,11 +4,13 @@
  */
 #pragma once
 
+#include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/fleet/membertable.h"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,4 +40,49 @@
                                         std::size_t most,
                                         random_source &random);
 
+/** What a caller is told. */
+struct entry_advice
+{
+    std::vector<fleet_member> entries;
+    /** How long the caller may keep it. */
+    milliseconds lifetime;
+};
+
+/**
+ * What an entry tells callers. While it has just become able to serve it names
+ * itself alone, for a short time: when a whole fleet starts, an entry knows
+ * itself and the seeds, and all callers would be sent to the seeds.
+ */
+class caller_advisor
+{
+public:
+    /** Time in which the first heartbeats make the members known. */
+    static constexpr milliseconds settlingTime{800};
+    /** How long callers keep what they are told until then. */
+    static constexpr milliseconds settlingLifetime{1000};
+
+    /** The advisor of the entry @p self. */
+    explicit caller_advisor(std::string self);
+
+    /** Notes whether the entry can serve at @p now. */
+    void setReady(bool ready, time_point now);
+
+    /** True while the members are not known yet. */
+    bool isSettling(time_point now) const;
+
+    /** Up to @p most of the entries @p ready for a caller at @p place, mostly for @p lifetime. */
+    entry_advice advise(const std::vector<fleet_member> &ready,
+                        const zone_regions &regions,
+                        const caller_place &place,
+                        std::size_t most,
+                        milliseconds lifetime,
+                        time_point now,
+                        random_source &random) const;
+
+private:
+    std::string m_self;
+    /** When the entry became able to serve; none while it cannot. */
+    std::optional<time_point> m_readySince;
+};
+
 }
--- a/libs/fleet/src/entrychoice.cpp
+++ b/libs/fleet/src/entrychoice.cpp
@@ -63,4 +63,38 @@
     return chosen;
 }
 
+caller_advisor::caller_advisor(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+void caller_advisor::setReady(bool ready, time_point now)
+{
+    if (!ready) {
+        m_readySince.reset();
+    } else if (!m_readySince) {
+        m_readySince = now;
+    }
+}
+
+bool caller_advisor::isSettling(time_point now) const
+{
+    return m_readySince && now < *m_readySince + settlingTime;
+}
+
+entry_advice caller_advisor::advise(const std::vector<fleet_member> &ready,
+                                    const zone_regions &regions,
+                                    const caller_place &place,
+                                    std::size_t most,
+                                    milliseconds lifetime,
+                                    time_point now,
+                                    random_source &random) const
+{
+    if (!isSettling(now)) {
+        return {chooseEntries(ready, regions, place, most, random), lifetime};
+    }
+    return {selectMembers(ready, [&](const fleet_member &member) { return member.name == m_self; }),
+            std::min(lifetime, settlingLifetime)};
+}
+
 }
--- a/libs/fleet/tests/entrychoicetest.cpp
+++ b/libs/fleet/tests/entrychoicetest.cpp
@@ -92,3 +92,73 @@
     const auto rarest = std::ranges::min_element(named, {}, [](const auto &item) { return item.second; });
     cr_assert_gt(rarest->second, callers / 2);
 }
+
+TestSuite(a_fleet_starts_all_at_once);
+
+namespace {
+
+constexpr std::size_t fleetSize = 60;
+const time_point start{seconds(1000)};
+
+/** Callers of zone a that each entry is named to, when callers ask all entries equally and pick one at random. */
+std::map<std::string, double> callersPerEntry(time_point now)
+{
+    random_source random(3);
+    const std::vector<fleet_member> all = entries("a", fleetSize);
+    std::map<std::string, double> callers;
+    for (const fleet_member &asked : all) {
+        caller_advisor advisor(asked.name);
+        advisor.setReady(true, start);
+        // The first one is the seed that all others have heard of.
+        const std::vector<fleet_member> known = now == start ? std::vector{all.front(), asked} : all;
+        const entry_advice advice = advisor.advise(known, regions, inZoneA, 64, milliseconds(5000), now, random);
+        for (const fleet_member &named : advice.entries) {
+            callers[named.name] += 1.0 / static_cast<double>(advice.entries.size());
+        }
+    }
+    return callers;
+}
+
+double busiest(const std::map<std::string, double> &callers)
+{
+    return std::ranges::max_element(callers, {}, [](const auto &item) { return item.second; })->second;
+}
+
+}
+
+Test(a_fleet_starts_all_at_once, callers_are_not_all_sent_to_the_seeds)
+{
+    const auto callers = callersPerEntry(start);
+    cr_assert_eq(callers.size(), fleetSize);
+    cr_assert_leq(busiest(callers), 2.0);
+}
+
+Test(a_fleet_starts_all_at_once, what_callers_are_told_then_is_kept_for_a_moment_only)
+{
+    random_source random(3);
+    caller_advisor advisor("a0");
+    advisor.setReady(true, start);
+    const auto ready = entries("a", 5);
+    const auto lifetimeAt = [&](time_point now) {
+        return advisor.advise(ready, regions, inZoneA, 64, milliseconds(5000), now, random).lifetime;
+    };
+    cr_assert_eq(lifetimeAt(start), caller_advisor::settlingLifetime);
+    cr_assert_eq(lifetimeAt(start + caller_advisor::settlingTime), milliseconds(5000));
+}
+
+Test(a_fleet_starts_all_at_once, all_entries_are_named_once_they_are_known)
+{
+    const auto callers = callersPerEntry(start + caller_advisor::settlingTime);
+    cr_assert_eq(callers.size(), fleetSize);
+    cr_assert_leq(busiest(callers), 1.1);
+}
+
+Test(a_fleet_starts_all_at_once, an_entry_that_cannot_serve_names_those_that_can)
+{
+    random_source random(3);
+    caller_advisor advisor("a0");
+    advisor.setReady(true, start);
+    advisor.setReady(false, start);
+    const auto others = entries("b", 3);
+    cr_assert_eq(advisor.advise(others, regions, inZoneA, 64, milliseconds(5000), start, random).entries.size(), 3);
+}
