--- a/daemon/connectionpool.h
+++ b/daemon/connectionpool.h
@@ -10,9 +10,9 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
-#include <functional>
 #include <string>
 #include <vector>
 
--- a/tests/system/fuzz_test.py
+++ b/tests/system/fuzz_test.py
@@ -2,6 +2,8 @@
 
 import os
 import random
+import socket
+import struct
 import tempfile
 import threading
 import time
@@ -71,10 +73,12 @@
 
 
 class WithOneEntry(unittest.TestCase):
+    SEEDS = ()
+
     def setUp(self):
         directory = self.enterContext(tempfile.TemporaryDirectory())
         self.dice = random.Random(SEED)
-        self.fleet = PlatformFleet(directory, entries=1)
+        self.fleet = PlatformFleet(directory, entries=1, seeds=self.SEEDS)
         self.addCleanup(self.fleet.end)
         self.entry = self.fleet.entries[0]
         RawBackend(self.fleet.store, "good-1", service="desk")
@@ -136,5 +140,37 @@
         self.assert_serves_on(ROUNDS)
 
 
+class Peers(WithOneEntry):
+    """A seed that sends back mutated copies of what the entry sends, and frames of noise."""
+
+    SEEDS = ("127.0.1.9",)
+
+    def greetings(self, port):
+        """Datagrams of the entry, which greets its seed in each heartbeat."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as seed:
+            seed.bind((self.SEEDS[0], port))
+            seed.settimeout(5)
+            return [seed.recv(4096) for _ in range(3)]
+
+    def frame(self):
+        body = bytes(self.dice.randrange(256) for _ in range(self.dice.choice([0, 3, 300])))
+        size = self.dice.choice([len(body), len(body) + 5, 0, 2**31, 2**32 - 1])
+        return struct.pack(">I", size) + self.dice.choice([b"", b"\x28\xb5\x2f\xfd"]) + body
+
+    def test_mutated_messages_harm_nobody(self):
+        port = self.fleet.ports[4]
+        greetings = self.greetings(port)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for turn in range(ROUNDS):
+                for _ in range(20):
+                    sender.sendto(mutate(self.dice.choice(greetings), self.dice)[:4096], (self.entry.host, port))
+                with socket.create_connection((self.entry.host, port), timeout=5) as connection:
+                    connection.sendall(self.frame())
+                if turn % 10 == 0:
+                    self.assert_serves_on(turn)
+        self.assert_serves_on(ROUNDS)
+        self.assertTrue(self.entry.lines("peer_message_rejected"))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -52,9 +52,9 @@
             "priority": 1, "service": service, "max_attempts": 2} | more
 
 
-def backend_report(address, service, zone="zone-a", sequence=1, state="ready", born=None):
+def backend_report(address, service, zone="zone-a", sequence=1, state="ready", born=None, capacity=2):
     return {"address": address, "born": born or int(time.time() * 1000),
-            "info": {"service": service, "config_version": "v1", "zone": zone, "capacity": 2},
+            "info": {"service": service, "config_version": "v1", "zone": zone, "capacity": capacity},
             "status": {"state": state, "sequence": sequence, "warmup_left_s": 0}}
 
 
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -5,6 +5,7 @@
 import time
 
 from fleet import free_port
+from platformfleet import backend_report
 
 CHUNK = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
 
@@ -24,10 +25,8 @@
 
     def report(self, state="ready"):
         self.sequence += 1
-        self.store.write("keyed.servers", self.name, {
-            "address": f"127.0.0.1:{self.port}", "born": self.born,
-            "info": {"service": self.service, "config_version": "v1", "zone": "zone-a", "capacity": 200},
-            "status": {"state": state, "sequence": self.sequence, "warmup_left_s": 0}})
+        self.store.write("keyed.servers", self.name, backend_report(
+            f"127.0.0.1:{self.port}", self.service, sequence=self.sequence, state=state, born=self.born, capacity=200))
 
     def remove(self):
         self.store.write("keyed.servers", self.name, b"")
