--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -6,7 +6,8 @@
 import time
 from pathlib import Path
 
-from fleet import BIN, Backend, Process, ask, free_port, wait_until
+from fleet import BIN, Backend, Process, ask, wait_until
+from ports import free_port
 
 HOST = "mill.example"
 
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from fleet import free_port
+from ports import free_port
 from platformfleet import backend_report
 
 CHUNK = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
--- a/tests/system/settings_test.py
+++ b/tests/system/settings_test.py
@@ -7,7 +7,8 @@
 import time
 import unittest
 
-from fleet import BIN, Fleet, ROOT, ask, free_port, wait_until
+from fleet import BIN, Fleet, ROOT, ask, wait_until
+from ports import free_port
 
 
 def run(program, *arguments, **environment):
