--- a/daemon/gateway/fleetcontrol.cpp
+++ b/daemon/gateway/fleetcontrol.cpp
@@ -24,15 +24,8 @@
 /** Period of heartbeats; a quarter of the silence after which a member counts as down. */
 constexpr milliseconds heartbeatPeriod{400};
 
-/** Longest time for reading the store; a listing of 11,000 servers takes 22 calls, and may be delayed. */
-constexpr milliseconds readTimeout{8000};
-
-/**
- * Time over which the entries of a fleet that starts spread their first listings of several pages, so that the first
- * ones can tell the others; such a listing takes 0.8 s on a link of 10 Mbit/s, and all share what the store reads.
- */
-constexpr milliseconds listingSpread{1500};
-constexpr milliseconds listingPoll{20};
+/** Longest time for reading the store; a listing of 11,000 servers takes 22 calls. */
+constexpr milliseconds readTimeout{5000};
 
 /**
  * Time for which a starting entry waits for a peer that has a view; an answer from another zone takes some 5 ms, and
@@ -131,16 +124,8 @@
     const time_point deadline = reading.startedAt + readTimeout;
     const view_position before = m_state.position();
     const bool first = !m_state.isComplete();
-    m_listingDelayed = !first;
-    const platform::page_gate gate = [this, first] {
-        return mayListOn(first);
-    };
-    co_await m_reader.read(reading, deadline, gate);
+    co_await m_reader.read(reading, deadline);
     const bool complete = reading.configRead && reading.backendsRead;
-    if (first && !complete && m_state.isComplete()) {
-        // A peer has told the view meanwhile, and the listing was given up.
-        co_return;
-    }
     noteStore(complete,
               reading.configRead == reading.backendsRead ? "all"
               : reading.configRead                       ? "backends"
@@ -172,19 +157,6 @@
     tellAll(news);
 }
 
-asio::awaitable<bool> fleet_control::mayListOn(bool first)
-{
-    if (!m_listingDelayed) {
-        m_listingDelayed = true;
-        const double spread = randomUnit(m_random) * static_cast<double>(listingSpread.count());
-        const time_point turn = steady::now() + milliseconds(static_cast<milliseconds::rep>(spread));
-        while (!m_state.isComplete() && steady::now() < turn) {
-            co_await sleepUntil(steady::now() + listingPoll);
-        }
-    }
-    co_return !first || !m_state.isComplete();
-}
-
 void fleet_control::noteStore(bool available, const char *part)
 {
     if (available != m_storeAvailable) {
--- a/daemon/gateway/fleetcontrol.h
+++ b/daemon/gateway/fleetcontrol.h
@@ -59,8 +59,6 @@
     boost::asio::awaitable<void> readLoop();
     boost::asio::awaitable<void> heartbeatLoop();
     boost::asio::awaitable<void> readStore();
-    /** Between two pages of a listing: false when it is the first one and a peer has told the view meanwhile. */
-    boost::asio::awaitable<bool> mayListOn(bool first);
     boost::asio::awaitable<void> askPeer(peer_notice notice);
     void hear(const peer_notice &notice);
     void takeOver(const view_push &push);
@@ -86,8 +84,6 @@
     store_reader m_reader;
     member_directory m_directory;
     boost::asio::steady_timer m_readTimer;
-    /** This entry has waited for others since its first listing began. */
-    bool m_listingDelayed = false;
     fleet_view_ptr m_published;
     pause_meter m_pauses;
     /** Questions to peers that are under way; one at a time. */
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -19,11 +19,11 @@
 {
 }
 
-asio::awaitable<void> store_reader::read(store_reading &reading, time_point deadline, const platform::page_gate &gate)
+asio::awaitable<void> store_reader::read(store_reading &reading, time_point deadline)
 {
     using namespace asio::experimental::awaitable_operators;
     std::tie(reading.configRead, reading.backendsRead)
-        = co_await (readConfig(reading, deadline) && readBackends(reading, deadline, gate));
+        = co_await (readConfig(reading, deadline) && readBackends(reading, deadline));
 }
 
 asio::awaitable<bool> store_reader::readConfig(store_reading &reading, time_point deadline)
@@ -53,8 +53,7 @@
     co_return true;
 }
 
-asio::awaitable<bool>
-store_reader::readBackends(store_reading &reading, time_point deadline, const platform::page_gate &gate)
+asio::awaitable<bool> store_reader::readBackends(store_reading &reading, time_point deadline)
 {
     const view_position position = m_state.position();
     platform::keyed_read read;
@@ -63,7 +62,7 @@
         read = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEnd, deadline);
     }
     if (read.code == result_code::offset_expired) {
-        read = co_await m_store.readNewest(store_topic::backend_servers, deadline, gate);
+        read = co_await m_store.readNewest(store_topic::backend_servers, deadline);
         reading.completeListing = true;
     }
     if (read.code != result_code::ok && (reading.completeListing || read.records.empty())) {
--- a/daemon/gateway/storereader.h
+++ b/daemon/gateway/storereader.h
@@ -18,16 +18,12 @@
     /** Reads from @p store what is newer than @p state. */
     store_reader(platform::store_client &store, const fleet_state &state);
 
-    /**
-     * Fills @p reading by two calls at once. A listing of several pages goes on while @p gate allows it. Records that
-     * cannot be decoded are logged and left out.
-     */
-    boost::asio::awaitable<void> read(store_reading &reading, time_point deadline, const platform::page_gate &gate);
+    /** Fills @p reading by two calls at once. Records that cannot be decoded are logged and left out. */
+    boost::asio::awaitable<void> read(store_reading &reading, time_point deadline);
 
 private:
     boost::asio::awaitable<bool> readConfig(store_reading &reading, time_point deadline);
-    boost::asio::awaitable<bool>
-    readBackends(store_reading &reading, time_point deadline, const platform::page_gate &gate);
+    boost::asio::awaitable<bool> readBackends(store_reading &reading, time_point deadline);
 
     platform::store_client &m_store;
     const fleet_state &m_state;
