--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -47,8 +47,8 @@
     /** Shortest pause of the others, which hear of the return from the first; spread by rank, from half of it on. */
     static constexpr milliseconds otherPause{3000};
     /**
-     * Part of it for each live entry above that: the others of a whole fleet try some 25 times a second, so that one
-     * of them finds the store back within 0.1 s even when it turns the first ones away.
+     * Their pause for each live entry, where that makes it longer: all others together try some 25 times a second
+     * then, and one of them finds the store back within 0.1 s even when it turns the first ones away.
      */
     static constexpr milliseconds otherPausePerMember{50};
 
