review: case 1 keeps more connections in use

Change: twelve clients an entry, two of three send unsafe requests. The rule's bound and the disruption stay as they are.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -12,7 +12,7 @@
 from standins import CONTACT_S, MEMORY_MB, Client, Platform, Registration, Server, main, now, route
 
 ENTRIES = 3
-CLIENTS_PER_ENTRY = 8
+CLIENTS_PER_ENTRY = 12
 LENGTH_S = 75
 RESTART_DELAY_S = 0.5
 # The disruption comes five times, each time for as long as the site's garble; within it, an answer without end starts
@@ -147,7 +147,7 @@
         platform.wait_until_ready()
         watch = Watch(platform, record)
         until = now() + LENGTH_S
-        callers = [Caller(entry, number, "unsafe" if number % 2 == 0 else "safe", record, until)
+        callers = [Caller(entry, number, "safe" if number % 3 == 0 else "unsafe", record, until)
                    for entry in platform.entries for number in range(CLIENTS_PER_ENTRY)]
         for caller in callers:
             caller.start()
