--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -45,6 +45,12 @@
  */
 constexpr std::size_t maxSkippedResponses = 16;
 
+/**
+ * Capacity in bytes of the read buffer beyond the maximum header size. Beast buffers the size line of a chunk and the
+ * trailer until they are complete, so without a limit a line that never ends would fill the memory.
+ */
+constexpr std::size_t bodyReadBytes = 64U * 1024U;
+
 result_code codeOfReadError(const beast::error_code &error)
 {
     if (error == beast::error::timeout) {
@@ -217,6 +223,7 @@
 {
     exchange_result result;
     m_state->busy = true;
+    m_state->buffer.max_size(limits.maxHeaderBytes + bodyReadBytes);
     m_state->stream.expires_at(deadline);
     if (!co_await send(request, result)) {
         close();
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -178,6 +178,29 @@
     cr_assert_eq(fixture.exchange().code, result_code::answer_too_large);
 }
 
+// Guards against memory that grows until the deadline: Beast buffers a chunk header or trailer until its line ends.
+Test(unbounded_responses, endless_lines_of_a_chunked_body_are_rejected_at_the_buffer_limit)
+{
+    constexpr std::size_t maxSentBytes = 16U * 1024U * 1024U;
+    const std::string header = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string zeros(65536, '\0');
+    const std::vector<std::pair<std::string, std::string>> bodies{
+        {"", zeros},
+        {"4\r\nhalf\r\n", std::string(65536, '0')},
+        {"4;extension=", std::string(65536, 'x')},
+        {"4\r\nhalf\r\n0\r\n", "trailer: " + std::string(1000, 'x') + "\r\n"},
+        {"0\r\ntrailer: ", zeros},
+    };
+    for (const auto &[beginning, endless] : bodies) {
+        connection_fixture fixture({{header + beginning}, endless, false});
+        const time_point startedAt = steady::now();
+        cr_assert_eq(fixture.exchange().code, result_code::answer_too_large, "%s", beginning.c_str());
+        cr_assert_lt(steady::now() - startedAt, exchangeTimeout / 2);
+        cr_assert_lt(fixture.server.sentBytes, maxSentBytes);
+        cr_assert_not(fixture.connection.isIdle());
+    }
+}
+
 Test(unbounded_responses, invalid_bytes_are_rejected_immediately)
 {
     connection_fixture fixture({{std::string(100, '\x7f')}, std::string(1000, '\x7f'), false});
