--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -77,7 +77,8 @@
     }
     for (auto &[id, known] : m_backends) {
         if (!listed.contains(id) && known.offset < end) {
-            changed = apply({id, end, std::nullopt}, now) || changed;
+            // The removal is one of the records before the end; the record at the end is still to be read.
+            changed = apply({id, end - 1, std::nullopt}, now) || changed;
         }
     }
     advanceTo(end);
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -197,3 +197,80 @@
     }
     cr_assert_not(decodeRequest("\x92\x07\x90", startTime));
 }
+
+TestSuite(listing_after_dropped_history);
+
+namespace {
+
+store_read_result makeListing(time_point at, std::vector<backend_record> backends, store_offset end)
+{
+    store_read_result readResult = makeStoreRead(at, 3, std::move(backends));
+    readResult.completeListing = true;
+    readResult.backendsEndOffset = end;
+    return readResult;
+}
+
+backend_record makeDrainingRecord(const std::string &id, store_offset offset)
+{
+    backend_record record = makeBackendRecord(id, offset);
+    record.server->draining = true;
+    return record;
+}
+
+/** A reading entry and its peer know s1 and s2; the reader then finds in a listing up to offset 5 that s1 has left. */
+struct listing_fixture
+{
+    listing_fixture()
+        : reader(makeMember("e1"))
+        , peer(makeMember("e2"))
+    {
+        for (fleet_state *entry : {&reader, &peer}) {
+            entry->recordMembershipKnown();
+            entry->applyStoreRead(makeStoreRead(startTime, 3, {makeBackendRecord("s1", 0), makeBackendRecord("s2", 1)}),
+                                  startTime);
+        }
+        read(makeListing(now, {makeBackendRecord("s2", 4)}, 5));
+    }
+
+    /** Applies a read at the reader and sends the heartbeat that announces its changes to the peer. */
+    void read(const store_read_result &readResult)
+    {
+        const view_position before = reader.position();
+        reader.applyStoreRead(readResult, now);
+        peer.applyHeartbeat(reader.heartbeatWithChanges(before, now), now);
+    }
+
+    std::size_t peerServers() const
+    {
+        const auto servers = peer.view(now)->backends;
+        return servers->contains("lots") ? servers->at("lots").size() : 0;
+    }
+
+    time_point now = startTime + milliseconds(100);
+    fleet_state reader;
+    fleet_state peer;
+};
+
+}
+
+// Guards against a drain that only the reading entry learns: a removal found in a listing took the next record's offset.
+Test(listing_after_dropped_history, next_record_reaches_peers)
+{
+    for (const backend_record &next : {makeDrainingRecord("s2", 5), backend_record{"s2", 5, std::nullopt}}) {
+        listing_fixture fixture;
+        cr_assert_eq(fixture.peerServers(), 1);
+        fixture.now += milliseconds(100);
+        fixture.read(makeStoreRead(fixture.now, 3, {next}));
+        cr_assert_eq(fixture.peerServers(), 0);
+    }
+}
+
+Test(listing_after_dropped_history, next_record_reaches_peer_that_missed_the_change)
+{
+    listing_fixture fixture;
+    fixture.now += milliseconds(100);
+    fixture.reader.applyStoreRead(makeStoreRead(fixture.now, 3, {makeDrainingRecord("s2", 5)}), fixture.now);
+    cr_assert_eq(fixture.peerServers(), 1);
+    exchangeHeartbeat(fixture.reader, fixture.peer, fixture.now);
+    cr_assert_eq(fixture.peerServers(), 0);
+}
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -156,6 +156,10 @@
     Removal("platform: connections to removed servers are closed", "daemon/gateway/dataplane.cpp",
             "m_pool.dropUnknown([this](const std::string &id) { return m_services.hasBackend(id); });", "",
             "exhaustion_test.py IdleConnections.test_connections_to_removed_server_are_closed"),
+    Removal("platform: limit of the read buffer of a backend connection", "libs/http/src/httpconnection.cpp",
+            "m_state->buffer.max_size(limits.maxHeaderBytes + bodyReadBytes);", "", "http_test"),
+    Removal("platform: a removal found in a listing comes before the listing's end", "libs/fleet/src/backendregistry.cpp",
+            "apply({id, end - 1, std::nullopt}, now)", "apply({id, end, std::nullopt}, now)", "fleet_test"),
     Removal("platform: exceptions of a request are handled", "libs/http/src/serverconnection.cpp",
             'logTaskFailure("request", std::current_exception());', "throw;", "http_test"),
 ]
