--- a/standins/keyedtopics.cpp
+++ b/standins/keyedtopics.cpp
@@ -16,6 +16,21 @@
 constexpr std::size_t maxRecordsPerPage = 500;
 constexpr std::size_t maxReadBytes = 1024U * 1024U;
 
+/** Decodes the percent-encoded bytes of @p text. */
+std::string unescape(const std::string &text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+            continue;
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
 std::string queryValue(const std::string &target, const std::string &name)
 {
     const auto position = target.find(name + "=");
@@ -23,7 +38,7 @@
         return {};
     }
     const auto start = position + name.size() + 1;
-    return target.substr(start, target.find('&', start) - start);
+    return unescape(target.substr(start, target.find('&', start) - start));
 }
 
 std::string bigEndian(std::uint64_t value)
@@ -98,7 +113,8 @@
         items.push_back({{"key", key}, {"value", absl::Base64Escape(record.second)}, {"offset", record.first}});
     }
     const bool more = position != keyedTopic.newest.end();
-    return makeResponse(200, json({{"items", items}, {"more", more}, {"end", keyedTopic.endOffset()}}).dump());
+    const json page = {{"items", items}, {"more", more}, {"end", keyedTopic.endOffset()}};
+    return makeResponse(200, page.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 void keyed_topics::compact()
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -1,5 +1,6 @@
 """Entries on the users' platform during configuration changes, draining of servers, faults and shutdowns."""
 
+import json
 import signal
 import subprocess
 import tempfile
@@ -118,6 +119,46 @@
                    what="the record is logged")
         self.assertEqual(entry.send("/lots/x").status, 200)
 
+    def write_foreign_records(self):
+        """Records of another writer: nested, with numbers and ports out of range, and with odd keys and names."""
+        address = self.backends[0].address
+        valid = backend_report(address, "lots", capacity=200)
+        nested = b"[" * 100_000 + b"]" * 100_000
+        values = {"nested": nested, "nested-field": b'{"info":' + nested + b"}", "zeros": bytes(1000)}
+        for number, (old, new) in enumerate([
+                ('"sequence": 1', '"sequence": 1e999'), ('"sequence": 1', '"sequence": 99999999999999999999'),
+                ('"capacity": 200', '"capacity": -1'), (address, address.split(":")[0] + ":65536"),
+                (address, address.split(":")[0] + ":-1"), ('"warmup_left_s": 0', '"warmup_left_s": 1e308'),
+                ('"zone-a"', '"' + "z" * 200_000 + '"'), ('"lots"', '"lots\\r\\n"'), ('"lots"', "7")]):
+            values[f"edited-{number}"] = json.dumps(valid).replace(old, new).encode()
+        for key in (b"i\r\nOdd-Field: 1", b"i\xff\xfe", b"", b"i " + b"x" * 250, b"a&after=z"):
+            values[key] = json.dumps(valid).encode()
+        for key, value in values.items():
+            self.store.write("keyed.servers", key, value)
+
+    # Guards against entries that end, or stop following the servers, because of one record that another writer left.
+    def test_foreign_records_do_not_keep_entries_from_following_the_servers(self):
+        entries = self.serve()
+        for compacted in (False, True):
+            self.write_foreign_records()
+            if compacted:
+                self.store.control(compact=True)
+                entries.append(self.fleet.start_entry(2))
+                wait_until(lambda: entries[2].send("/lots/x").status == 200, what="the new entry serves")
+            name = f"s-new-{compacted}"
+            self.fleet.add_backend(name)
+            for entry in entries:
+                wait_until(lambda: entry.send("/lots/x").headers.get("server-seal") == name, DRAIN_SECONDS + 3,
+                           f"{entry.name} uses the new server", reporter=entry)
+            self.backends[int(compacted)].report("draining")
+            time.sleep(DRAIN_SECONDS)
+            for entry in entries:
+                seals = {entry.send("/lots/x").headers.get("server-seal") for _ in range(20)}
+                self.assertNotIn(self.backends[int(compacted)].name, seals, entry.name)
+                self.assertIsNone(entry.child.poll())
+        rejected = [line for entry in entries for line in entry.lines("record_rejected")]
+        self.assertTrue(any("Odd-Field" in line for line in rejected))
+
 
 class Configuration(PlatformTest):
     def test_change_is_in_force_in_time_after_another_entry_is_killed(self):
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -13,7 +13,8 @@
 
 
 def record(key, value):
-    content = bytes([len(key)]) + key.encode() + value
+    key = key if isinstance(key, bytes) else key.encode()
+    content = bytes([len(key)]) + key + value
     return struct.pack(">I", len(content)) + content
 
 
