--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -83,7 +83,7 @@
         }
         ++service->metrics.probes;
         response_rules rules;
-        rules.accepts = platform::canBeProbeResponse;
+        rules.match = platform::matchProbe;
         http_request request = platform::makeProbe(service->profile.healthPath, toString(backend->server.address));
         const exchange_result exchange
             = co_await connection->exchange(std::move(request), probeLimits, deadline, std::move(rules));
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -193,8 +193,8 @@
         http_request message = m_request.message;
         platform::setBackendHeaders(message, backend->server.id, remaining);
         response_rules rules;
-        rules.accepts = [id = m_request.id](const http_response &response) {
-            return platform::canBeResponseTo(response, id);
+        rules.match = [id = m_request.id](const http_response &response) {
+            return platform::matchRequest(response, id);
         };
         rules.acceptsCloseDelimited = true;
         rules.budget = &m_context.bodyMemory;
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -253,7 +253,8 @@
 
 }
 
-// Guards against a drain that only the reading entry learns: a removal found in a listing took the next record's offset.
+// Guards against a drain that only the reading entry learns: a removal found in a listing took the next record's
+// offset.
 Test(listing_after_dropped_history, next_record_reaches_peers)
 {
     for (const backend_record &next : {makeDrainingRecord("s2", 5), backend_record{"s2", 5, std::nullopt}}) {
--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -31,11 +31,18 @@
     std::uint64_t maxBodyBytes = 1024U * 1024U;
 };
 
+/** Whether a response belongs to the request of an exchange. */
+enum class response_match {
+    this_request, /**< The exchange ends with the response. */
+    other_request, /**< The response is skipped. */
+    unidentified, /**< It is not known which request it answers; the exchange fails with answer_malformed. */
+};
+
 /** Which responses an exchange accepts. */
 struct response_rules
 {
-    /** Returns false for a response to another request, which is skipped. Null accepts every response. */
-    std::function<bool(const http_response &)> accepts;
+    /** Matches each final response with the request. Null accepts every response. */
+    std::function<response_match(const http_response &)> match;
     /** Accepts responses that are delimited by the close of the connection; a reset never counts as the end. */
     bool acceptsCloseDelimited = false;
     /** Memory budget of the bodies; with null only the message limits apply. Must outlive the result. */
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -198,7 +198,11 @@
             // The end of such a body cannot be distinguished from a truncation.
             co_return result_code::answer_malformed;
         }
-        if (rules.accepts && !rules.accepts(parser.get())) {
+        const response_match match = rules.match ? rules.match(parser.get()) : response_match::this_request;
+        if (match == response_match::unidentified) {
+            co_return result_code::answer_malformed;
+        }
+        if (match == response_match::other_request) {
             if (closeDelimited) {
                 co_return result_code::connection_lost;
             }
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -88,8 +88,11 @@
             http_request request(boost::beast::http::verb::get, "/", 11);
             request.set("id", id);
             response_rules rules;
-            rules.accepts = [id](const http_response &response) {
-                return response["id"].empty() || response["id"] == id;
+            rules.match = [id](const http_response &response) {
+                if (response["id"].empty()) {
+                    return response_match::unidentified;
+                }
+                return response["id"] == id ? response_match::this_request : response_match::other_request;
             };
             rules.acceptsCloseDelimited = true;
             rules.budget = budget;
@@ -129,6 +132,15 @@
     cr_assert_not(fixture.connection.isReusable());
 }
 
+// Guards against a late second response without an id that counts as the response to the request in flight.
+Test(duplicate_responses, unidentified_response_ends_the_exchange_and_the_connection)
+{
+    connection_fixture fixture(
+        {{"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}" + makeResponseTo("1", "real")}, "", false});
+    cr_assert_eq(fixture.exchange().code, result_code::answer_malformed);
+    cr_assert_not(fixture.connection.isIdle());
+}
+
 TestSuite(truncated_responses);
 
 Test(truncated_responses, are_rejected_for_every_kind_of_framing)
@@ -147,6 +159,20 @@
     }
 }
 
+// Guards against a response that ends in its header and counts as one with an empty or short body.
+Test(truncated_responses, are_rejected_at_each_byte_of_the_header)
+{
+    for (const std::string fields : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const std::string header = "HTTP/1.1 200 OK\r\nid: 2\r\n" + fields + "\r\n";
+        for (std::size_t size = 0; size < header.size(); ++size) {
+            connection_fixture fixture({{makeResponseTo("1", "whole"), header.substr(0, size)}, "", false});
+            cr_assert_eq(fixture.exchange().code, result_code::ok);
+            cr_assert_eq(fixture.exchange().code, result_code::answer_cut, "after %zu bytes", size);
+            cr_assert_not(fixture.connection.isIdle());
+        }
+    }
+}
+
 Test(truncated_responses, reset_does_not_end_a_close_delimited_response)
 {
     const std::string header = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n";
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -80,6 +80,16 @@
 
 private:
     asio::awaitable<http_response> handle(http_request &request, http_exchange &exchange)
+    {
+        http_response response = co_await respond(request, exchange);
+        // As the servers of the platform do, returns the id in every response to a request.
+        if (const auto attemptId = request["Attempt-Id"]; !attemptId.empty()) {
+            response.set("Attempt-Id", attemptId);
+        }
+        co_return response;
+    }
+
+    asio::awaitable<http_response> respond(http_request &request, http_exchange &exchange)
     {
         const std::string target = std::string(request.target());
         if (target == "/control") {
--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -159,6 +159,32 @@
             answer = entry.send("/lots/x", attempt=f"id-{number}")
             self.assertEqual((answer.status, answer.body.decode()), (200, f"id-{number}"))
 
+    # Guards against "not run" for a request that is running, and against a second run at another server.
+    def test_refusal_without_id_is_not_trusted(self):
+        entry = self.serve("refused_without_id")
+        self.raw.append(RawBackend(self.fleet.store, "raw-2", mode="refused_without_id"))
+        wait_until(lambda: self.send_to_second(entry), 3, "the second server is used")
+        for number in range(20):
+            answer = entry.send("/weigh/x", "POST", attempt=f"once-{number}")
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(sum(backend.requests.count(f"once-{number}") for backend in self.raw), 1)
+
+    def send_to_second(self, entry):
+        entry.send("/lots/x", attempt="warm-up")
+        return self.raw[1].requests
+
+    # Guards against a response that ends in its header and reaches the caller as an empty success.
+    def test_response_that_ends_in_its_header_is_never_successful(self):
+        entry = self.serve("cut_head")
+        with entry.connect() as caller:
+            for number in range(120):
+                path, method = ("/lots/x", "GET") if number % 2 else ("/weigh/x", "POST")
+                caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: h{number}\r\n"
+                               "Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n".encode())
+                answer = caller.recv(65536)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 50"), answer)
+        self.assertGreater(len(self.raw[0].requests), 100)
+
     def test_truncated_response_is_never_successful(self):
         for number, mode in enumerate(("cut", "cut_chunked", "reset_unframed")):
             entry = self.serve(mode) if number == 0 else self.fleet.entries[0]
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -18,6 +18,7 @@
         self.port = free_port()
         self.requests = []
         self.open_connections = 0
+        self.flooded_connections = 0
         self.sequence, self.born = 0, int(time.time() * 1000)
         self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
         threading.Thread(target=self.accept_loop, daemon=True).start()
@@ -88,7 +89,11 @@
     def endless_after(self, connection, request_id):
         connection.sendall(self.answer(request_id))
         time.sleep(0.05)
-        self.forever(connection, b"\x7f" * 65536)
+        self.flooded_connections += 1
+        try:
+            self.forever(connection, b"\x7f" * 65536)
+        finally:
+            self.flooded_connections -= 1
 
     def large(self, connection, request_id):
         connection.sendall(self.answer(request_id, 2_000_000))
@@ -116,6 +121,26 @@
         connection.sendall(self.head(request_id, "Transfer-Encoding: chunked"))
         self.forever(connection, CHUNK * 64)
 
+    def endless_chunk_size(self, connection, request_id):
+        connection.sendall(self.head(request_id, "Transfer-Encoding: chunked"))
+        self.forever(connection, bytes(65536))
+
+    def endless_trailer(self, connection, request_id):
+        connection.sendall(self.head(request_id, "Transfer-Encoding: chunked") + CHUNK + b"0\r\nlast: ")
+        self.forever(connection, b"x" * 65536)
+
+    def refused_without_id(self, connection, request_id):
+        """Runs the request while a rejection without an id, such as that of a health check, arrives first."""
+        connection.sendall(b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\n{}")
+        time.sleep(0.02)
+        connection.sendall(self.answer(request_id))
+
+    def cut_head(self, connection, request_id):
+        """Sends ever longer parts of the header, and closes in good order."""
+        head = self.head(request_id, "Content-Length: 5")
+        connection.sendall(head[:1 + len(self.requests) % (len(head) - 1)])
+        connection.close()
+
     def endless_unframed(self, connection, request_id):
         connection.sendall(self.head(request_id))
         self.forever(connection, b"x" * 65536)
