--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -71,6 +71,13 @@
     def test_endless_chunked_body(self):
         self.assert_rejects_endless_response("endless_chunks")
 
+    # Guards against memory that grows until the platform kills the entry: such a line is no body data.
+    def test_endless_size_line_of_a_chunk(self):
+        self.assert_rejects_endless_response("endless_chunk_size")
+
+    def test_endless_trailer(self):
+        self.assert_rejects_endless_response("endless_trailer")
+
     def test_endless_body_without_length(self):
         self.assert_rejects_endless_response("endless_unframed")
 
