--- a/libs/http/src/private/serverconnection.h
+++ b/libs/http/src/private/serverconnection.h
@@ -103,7 +103,9 @@
     time_point m_firstRequestDeadline;
     bool m_writing = false;
     bool m_timedOut = false;
-    /** The last response has been written; nothing more is served. */
+    /** The header of the last response announces the close; no further request is served. */
+    bool m_closeAnnounced = false;
+    /** The last response has been written; all input is discarded. */
     bool m_finished = false;
     bool m_closed = false;
 };
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -141,7 +141,7 @@
 
 asio::awaitable<void> http_server::connection::waitForPipelineSlot()
 {
-    while (!m_closed && !m_finished && m_pending.size() >= m_server->options.maxPipelineDepth) {
+    while (!m_closed && !m_closeAnnounced && m_pending.size() >= m_server->options.maxPipelineDepth) {
         co_await m_pipelineSlotTimer.async_wait(asTuple);
         m_pipelineSlotTimer.expires_at(time_point::max());
     }
@@ -242,7 +242,7 @@
     }
     enterReadPhase(read_phase::idle);
     co_await waitForPipelineSlot();
-    if (m_closed || m_finished) {
+    if (m_closed || m_closeAnnounced) {
         co_return false;
     }
     const auto pending = std::make_shared<exchange>();
@@ -302,6 +302,8 @@
         // Closing the connection would lose a request that is pipelined or being read.
         const bool noFurtherRequest = m_pending.size() == 1 && m_phase == read_phase::idle && m_buffer.size() == 0;
         response.keep_alive(pending->keepAlive && response.keep_alive() && !(m_server->closing && noFurtherRequest));
+        // A request that arrives while this response is written would be served, but its response could not be sent.
+        m_closeAnnounced = !response.keep_alive();
         m_writeDeadline = steady::now() + m_server->options.messageTimeout;
         const auto [error, size] = co_await http::async_write(m_socket, response, asTuple);
         m_writeDeadline.reset();
--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr std::size_t pipelineDepth = 4;
+
 socket_address freeAddress()
 {
     asio::io_context context;
@@ -46,6 +48,7 @@
     {
         server_options options;
         options.budget = budget;
+        options.maxPipelineDepth = pipelineDepth;
         options.makeRejection = [](result_code code) {
             return makeResponse(infoOf(code).httpStatus, std::string(infoOf(code).name));
         };
@@ -77,6 +80,20 @@
         return error == asio::error::connection_reset ? "reset" : text;
     }
 
+    /** Reads until the server closes the connection or sends nothing for some time. */
+    std::string receiveAll(tcp::socket &socket)
+    {
+        constexpr int maxIdleRuns = 5;
+        std::string text;
+        for (int idleRuns = 0; idleRuns < maxIdleRuns;) {
+            const std::string part = received(socket);
+            idleRuns = part.empty() ? idleRuns + 1 : 0;
+            text += part;
+            run(milliseconds(1));
+        }
+        return text;
+    }
+
     asio::io_context context;
     asio::io_context callers;
     socket_address address;
@@ -88,6 +105,13 @@
     co_return makeResponse(200, request.body());
 }
 
+/** Responds to the body "large" with @p largeSize bytes, and to any other with a copy. */
+asio::awaitable<http_response> countAndRespond(http_request &request, int &served, std::size_t largeSize)
+{
+    ++served;
+    co_return makeResponse(200, request.body() == "large" ? std::string(largeSize, 'x') : request.body());
+}
+
 asio::awaitable<http_response> throwOnBadRequest(http_request &request, http_exchange &)
 {
     if (request.body() == "bad") {
@@ -182,6 +206,29 @@
     cr_assert_eq(fixture.server.connectionCount(), 0);
 }
 
+// Guards against requests that are served while the response that announces the close of their connection is written.
+Test(graceful_stop_under_load, request_that_arrives_during_the_last_response_is_not_served)
+{
+    constexpr std::size_t largeSize = 16U * 1024U * 1024U;
+    int served = 0;
+    server_fixture fixture(
+        [&](http_request &request, http_exchange &) { return countAndRespond(request, served, largeSize); });
+    tcp::socket caller = fixture.connect(makePost("large"));
+    fixture.run();
+    fixture.server.closeAfterResponses();
+    asio::write(caller, asio::buffer(makePost("small")));
+    tcp::socket stopping = fixture.connect(makePost("large"));
+    fixture.run();
+    cr_assert_eq(served, 3);
+    asio::write(stopping, asio::buffer(makePost("small")));
+    fixture.run();
+    const std::string closing = fixture.receiveAll(stopping);
+    cr_assert_neq(closing.find("Connection: close"), std::string::npos);
+    cr_assert_eq(served, 3);
+    // The first connection announced nothing before its second request, so that is answered.
+    cr_assert(fixture.receiveAll(caller).ends_with("small"));
+}
+
 TestSuite(body_memory_limit);
 
 Test(body_memory_limit, requests_beyond_the_budget_are_rejected_and_others_are_served)
