--- a/libs/http/src/private/serverconnection.h
+++ b/libs/http/src/private/serverconnection.h
@@ -82,6 +82,12 @@
     boost::asio::awaitable<void> discardInput();
     boost::asio::awaitable<http_response> handle(exchange_ptr pending);
     boost::asio::awaitable<void> waitForPipelineSlot();
+    /** Calls readAhead() when input arrives, if the buffer has room for it. */
+    void watchInput();
+    /** Reads into the buffer what has arrived, which also shows that the caller has closed the connection. */
+    void readAhead();
+    /** True if the caller has closed the connection, even if input before the close has not been read. */
+    bool hasCallerDisconnected();
     boost::asio::awaitable<void> writeResponses();
     void serve(exchange_ptr pending);
     void reject(result_code code);
@@ -101,6 +107,9 @@
     std::optional<time_point> m_writeDeadline;
     /** A stopping server, too, waits for the first request until this time. */
     time_point m_firstRequestDeadline;
+    /** A request has been read and waits for a pipeline slot. */
+    bool m_requestWaiting = false;
+    bool m_watchingInput = false;
     bool m_writing = false;
     bool m_timedOut = false;
     /** The header of the last response announces the close; no further request is served. */
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -9,6 +9,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <poll.h>
+
+#include <algorithm>
+
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
@@ -141,10 +145,46 @@
 
 asio::awaitable<void> http_server::connection::waitForPipelineSlot()
 {
+    m_requestWaiting = true;
     while (!m_closed && !m_closeAnnounced && m_pending.size() >= m_server->options.maxPipelineDepth) {
+        watchInput();
         co_await m_pipelineSlotTimer.async_wait(asTuple);
         m_pipelineSlotTimer.expires_at(time_point::max());
     }
+    m_requestWaiting = false;
+}
+
+void http_server::connection::watchInput()
+{
+    if (m_watchingInput || m_buffer.size() == m_buffer.max_size()) {
+        return;
+    }
+    m_watchingInput = true;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const beast::error_code &error) {
+        self->m_watchingInput = false;
+        if (!error && self->m_requestWaiting) {
+            self->readAhead();
+            self->m_pipelineSlotTimer.cancel();
+        }
+    });
+}
+
+void http_server::connection::readAhead()
+{
+    const std::size_t size = std::min(firstReadBytes, m_buffer.max_size() - m_buffer.size());
+    beast::error_code error;
+    m_socket.non_blocking(true, error);
+    m_buffer.commit(m_socket.read_some(m_buffer.prepare(size), error));
+    if (error && error != asio::error::would_block) {
+        notifyCallerDisconnected();
+        close();
+    }
+}
+
+bool http_server::connection::hasCallerDisconnected()
+{
+    pollfd socket{m_socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&socket, 1, 0) > 0 && (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 asio::awaitable<void> http_server::connection::discardInput()
@@ -300,7 +340,8 @@
         }
         http_response &response = *pending->response;
         // Closing the connection would lose a request that is pipelined or being read.
-        const bool noFurtherRequest = m_pending.size() == 1 && m_phase == read_phase::idle && m_buffer.size() == 0;
+        const bool noFurtherRequest
+            = m_pending.size() == 1 && m_phase == read_phase::idle && m_buffer.size() == 0 && !m_requestWaiting;
         response.keep_alive(pending->keepAlive && response.keep_alive() && !(m_server->closing && noFurtherRequest));
         // A request that arrives while this response is written would be served, but its response could not be sent.
         m_closeAnnounced = !response.keep_alive();
@@ -375,6 +416,11 @@
         close();
         return;
     }
+    // While the buffer is full, nothing is read that would show the close.
+    if (m_requestWaiting && !m_watchingInput && hasCallerDisconnected()) {
+        notifyCallerDisconnected();
+        close();
+    }
     if (m_server->stopped) {
         closeIfIdle(now);
     }
--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
@@ -19,8 +21,13 @@
 
 namespace {
 
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
 constexpr std::size_t pipelineDepth = 4;
 
+/** Half a second after a caller has left, its requests are no longer worked on. */
+constexpr milliseconds maxDisconnectDelay{400};
+
 socket_address freeAddress()
 {
     asio::io_context context;
@@ -112,6 +119,19 @@
     co_return makeResponse(200, request.body() == "large" ? std::string(largeSize, 'x') : request.body());
 }
 
+/** Responds only after the caller has disconnected. */
+asio::awaitable<http_response> waitForDisconnect(http_exchange &exchange, int &served, int &disconnected)
+{
+    ++served;
+    asio::steady_timer timer(co_await asio::this_coro::executor, time_point::max());
+    exchange.watchCaller([&] {
+        ++disconnected;
+        timer.cancel();
+    });
+    co_await timer.async_wait(asTuple);
+    co_return makeResponse(200, "");
+}
+
 asio::awaitable<http_response> throwOnBadRequest(http_request &request, http_exchange &)
 {
     if (request.body() == "bad") {
@@ -229,6 +249,47 @@
     cr_assert(fixture.receiveAll(caller).ends_with("small"));
 }
 
+TestSuite(full_pipeline);
+
+// Guards against a close that is noticed only after a response: a connection with a full pipeline was not read.
+Test(full_pipeline, close_by_the_caller_is_noticed_and_waiting_requests_are_not_served)
+{
+    for (const std::size_t bodySize : {std::size_t{10}, std::size_t{13'000}}) {
+        int served = 0;
+        int disconnected = 0;
+        server_fixture fixture(
+            [&](http_request &, http_exchange &exchange) { return waitForDisconnect(exchange, served, disconnected); });
+        std::string requests;
+        for (std::size_t i = 0; i < 3 * pipelineDepth; ++i) {
+            requests += makePost(std::string(bodySize, 'x'));
+        }
+        tcp::socket caller = fixture.connect(requests);
+        fixture.run();
+        cr_assert_eq(served, pipelineDepth);
+        cr_assert_eq(disconnected, 0);
+        caller.close();
+        fixture.run(maxDisconnectDelay);
+        cr_assert_eq(disconnected, pipelineDepth, "%d of bodies of %zu bytes", disconnected, bodySize);
+        cr_assert_eq(served, pipelineDepth);
+    }
+}
+
+Test(full_pipeline, waiting_requests_are_served_in_order)
+{
+    server_fixture fixture(echo);
+    std::string requests;
+    for (std::size_t i = 0; i < 5 * pipelineDepth; ++i) {
+        requests += makePost(std::to_string(i) + ";" + std::string(10'000, 'x'));
+    }
+    tcp::socket caller = fixture.connect(requests);
+    const std::string responses = fixture.receiveAll(caller);
+    std::size_t position = 0;
+    for (std::size_t i = 0; i < 5 * pipelineDepth; ++i) {
+        position = responses.find("\r\n\r\n" + std::to_string(i) + ";", position);
+        cr_assert_neq(position, std::string::npos, "response %zu", i);
+    }
+}
+
 TestSuite(body_memory_limit);
 
 Test(body_memory_limit, requests_beyond_the_budget_are_rejected_and_others_are_served)
