prove: bring two rows back in line with httpconnection.cpp

Cause: the rows "a body without a length" and "unread bytes" held pieces of code that had been reworded, so they were reported as STALE.

Change: the two texts.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -37,10 +37,10 @@
             "request_faults_test.py FaultsUnderNonIdempotentLoad"
             ".test_when_all_servers_refuse_each_caller_receives_not_run"),
     Removal("a body without a length does not count as complete", "libs/http/src/httpconnection.cpp",
-            "if (parser.need_eof() && !parser.get().body().empty()) {", "if (false) {",
+            "if (closeDelimited && !rules.acceptsCloseDelimited && !parser.get().body().empty()) {", "if (false) {",
             "request_faults_test.py MisbehavingBackendServers.test_truncated_body_is_never_treated_as_complete"),
     Removal("a connection with unread bytes is not reused", "libs/http/src/httpconnection.cpp",
-            "if (!keepAlive || m_state->buffer.size() > 0) {", "if (!keepAlive) {",
+            "if (!reusable || state->buffer.size() > 0) {", "if (!reusable) {",
             "request_faults_test.py MisbehavingBackendServers.test_second_response_on_a_connection_is_not_delivered"),
     Removal("non-idempotent requests avoid stale idle connections", "daemon/proxiedrequest.cpp",
             "m_traits.idempotent ? time_point::min() : now - service.maxIdleTimeForNonIdempotent", "time_point::min()",
