gateway: count the attempts of a request in one class

Cause: m_attempts was the number of attempts sent, the limit's count and the id of the newest attempt at once. An attempt whose server is being chosen was not counted, so a failure in that time was retried beside it. An attempt that could not connect was subtracted, so the next one got the id of another one in flight; the end of either removed both, and sendAttempt() then wrote through the end of a vector.

Change: attempt_tracker reserves an attempt before the choice, and never repeats a number. One retry serves for all attempts that fail before it starts. A request does not end while the server of an attempt is being chosen.

--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -49,6 +49,7 @@
     , m_request(std::move(request))
     , m_selector(context, m_request)
     , m_wakeTimer(context.context)
+    , m_attempts(m_request.rule->maxAttempts)
 {
 }
 
@@ -57,6 +58,7 @@
     const auto self = shared_from_this();
     exchange.watchCaller([self] { self->finish(result_code::caller_gone); });
     m_request.service->retryBudget.recordRequest(m_request.arrivedAt);
+    m_attempts.tryReserve();
     co_await startAttempt();
     while (!m_finished) {
         subtractSuspension();
@@ -120,6 +122,7 @@
         if (chosen) {
             m_selector.releaseConnection(*chosen);
         }
+        m_attempts.releaseReservation();
         m_outcome.retryAfter = decision.retryAfter;
         if (m_inFlightAttempts.empty()) {
             m_failureCode = m_mayHaveRun ? m_failureCode : (choice ? result_code::overloaded : m_failureCode);
@@ -127,12 +130,11 @@
         }
         co_return;
     }
-    ++m_attempts;
+    const std::uint32_t number = m_attempts.start();
     ++m_request.service->metrics.attempts;
     m_triedBackends.insert(chosen->backend->server.id);
     m_lastBackend = chosen->backend->server.id;
     m_expectedLatencyMs = chosen->choice.expectedLatencyMs;
-    const std::uint32_t number = m_attempts;
     m_inFlightAttempts.push_back({number, chosen->backend, nullptr, steady::now()});
     startTask(m_context.context, "attempt", [self = shared_from_this(), selected = std::move(*chosen), number] {
         return self->runAttempt(selected, number);
@@ -223,8 +225,10 @@
         backend->health.recordFailure(now);
     }
     if (!result.mayHaveSentBytes) {
-        --m_attempts;
-        recordAttemptFailure(*backend, result_code::connect_failed, false, ++m_connectFailures <= maxConnectFailures);
+        m_attempts.cancelUnsent();
+        const bool shouldRetry
+            = ++m_connectFailures <= maxConnectFailures && (m_retryPending || m_attempts.tryReserve());
+        recordAttemptFailure(*backend, result_code::connect_failed, false, shouldRetry);
         return;
     }
     recordAttemptFailure(*backend, result.code, true, acquireIdempotentRetry());
@@ -268,7 +272,7 @@
 
 void request_forwarder::recordServiceTime(double durationMs)
 {
-    if (!m_lastLoad || m_attempts != 1 || m_lastLoad->running >= m_lastLoad->slots) {
+    if (!m_lastLoad || m_attempts.started() != 1 || m_lastLoad->running >= m_lastLoad->slots) {
         return;
     }
     const double serviceTimeMs = durationMs / std::max(1.0, m_lastLoad->slowdown);
@@ -290,11 +294,16 @@
 
 bool request_forwarder::acquireRetry()
 {
+    if (m_retryPending) {
+        // One retry serves for all attempts that fail before it starts.
+        return true;
+    }
     const time_point now = steady::now();
-    if (m_attempts >= m_request.rule->maxAttempts || toMilliseconds(m_request.deadline - now) < minAttemptMs) {
+    if (toMilliseconds(m_request.deadline - now) < minAttemptMs || !m_attempts.tryReserve()) {
         return false;
     }
     if (!m_request.service->retryBudget.tryAcquire(now, m_request.liveMembers)) {
+        m_attempts.releaseReservation();
         return false;
     }
     ++m_request.service->metrics.retries;
@@ -316,7 +325,8 @@
         m_retryPending = true;
         return;
     }
-    if (m_inFlightAttempts.empty()) {
+    // An attempt whose server is being chosen may still succeed.
+    if (m_inFlightAttempts.empty() && !m_attempts.hasReservation()) {
         finishFailed();
     }
 }
@@ -370,7 +380,7 @@
 
 std::uint32_t request_forwarder::attempts() const
 {
-    return m_attempts;
+    return m_attempts.started();
 }
 
 const std::string &request_forwarder::lastBackend() const
--- a/daemon/gateway/requestforwarder.h
+++ b/daemon/gateway/requestforwarder.h
@@ -10,6 +10,7 @@
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/base/suspension.h"
+#include "cardamomdeck/dispatch/attempttracker.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/http/httpconnection.h"
@@ -79,6 +80,7 @@
         time_point startedAt;
     };
 
+    /** Chooses a server for the attempt that is reserved, and starts it. */
     boost::asio::awaitable<void> startAttempt();
     /** Runs an attempt; an exception counts as a failure after which the request may have run. */
     boost::asio::awaitable<void> runAttempt(chosen_backend chosen, std::uint32_t number);
@@ -90,6 +92,7 @@
     void recordAttemptFailure(const backend_state &backend, result_code code, bool mayHaveRun, bool shouldRetry);
     /** Subtracts a suspension of the machine from the remaining time, because the caller's clock kept running. */
     void subtractSuspension();
+    /** Reserves the attempt of a retry or a hedge; fails if the attempts, the time or the retry budget are used up. */
     bool acquireRetry();
     /** Like acquireRetry(), for a request that may have run: always fails unless the request is idempotent. */
     bool acquireIdempotentRetry();
@@ -111,11 +114,12 @@
     std::string m_lastBackend;
     std::optional<load_report> m_lastLoad;
     double m_expectedLatencyMs = 0;
-    std::uint32_t m_attempts = 0;
+    attempt_tracker m_attempts;
     std::uint32_t m_connectFailures = 0;
     /** Complete error response (5xx) of a backend server; returned if no later attempt succeeds. */
     std::optional<exchange_result> m_lastErrorResponse;
     bool m_mayHaveRun = false;
+    /** A retry is reserved and starts as soon as run() continues. */
     bool m_retryPending = false;
     bool m_hedged = false;
     bool m_finished = false;
--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -161,6 +161,23 @@
         wait_until(lambda: self.raw[0].open_connections == 0, self.MAX_CLOSE_SECONDS, "all connections are closed")
 
 
+class Attempts(SingleEntryTest):
+    REQUESTS = 12
+
+    # Guards against a third attempt of two: the first one fails while the server of the hedge is being chosen.
+    def test_failure_during_the_choice_of_a_second_server_adds_no_attempt(self):
+        entry = self.serve("fail_late")
+        self.raw += [RawBackend(self.fleet.store, f"raw-{number}", mode="fail_late") for number in (2, 3, 4, 5)]
+        wait_until(lambda: entry.send("/lots/x", attempt="warm-up") and self.raw[4].requests, 10, "all are used")
+        for backend in self.raw:
+            backend.health_delay = 0.05
+        for number in range(self.REQUESTS):
+            entry.send("/lots/x", attempt=f"two-{number}")
+        attempts = [sum(backend.requests.count(f"two-{number}") for backend in self.raw)
+                    for number in range(self.REQUESTS)]
+        self.assertEqual(max(attempts), 2, attempts)
+
+
 class ResponseIsolation(SingleEntryTest):
     def test_duplicate_response_never_reaches_another_caller(self):
         entry = self.serve("second_copy")
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -19,6 +19,7 @@
         self.requests = []
         self.open_connections = 0
         self.flooded_connections = 0
+        self.health_delay = 0.0
         self.sequence, self.born = 0, int(time.time() * 1000)
         self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
         threading.Thread(target=self.accept_loop, daemon=True).start()
@@ -50,6 +51,7 @@
                 while request := self.read(connection):
                     path, request_id = request
                     if path == "/health":
+                        time.sleep(self.health_delay)
                         load = f"Server-Load: 0,0,2,100\r\nInstance-Id: {self.name}\r\n"
                         connection.sendall(f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode())
                         continue
@@ -135,6 +137,11 @@
         time.sleep(0.02)
         connection.sendall(self.answer(request_id))
 
+    def fail_late(self, connection, _request_id):
+        """Fails shortly after a hedge of the request becomes due."""
+        time.sleep(0.245)
+        connection.close()
+
     def cut_head(self, connection, request_id):
         """Sends ever longer parts of the header, and closes in good order."""
         head = self.head(request_id, "Content-Length: 5")
