dispatch, platform: what servers announce about themselves

Cause: servers now say in their responses that they leave (Server-Leaving), and in a rejection for how long they want no requests (Retry-After). Nothing read either.

Nothing uses it yet.

--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -47,6 +47,7 @@
     connect_failed = 309,
     memory_short = 310,
     request_incomplete = 311,
+    backends_withheld = 312,
 
     deadline_passed = 400,
     answer_cut = 401,
@@ -59,6 +60,11 @@
     frame_malformed = 500,
     frame_too_large = 501,
     base_unknown = 502,
+
+    leaving_invalid = 600,
+    pause_invalid = 601,
+    pause_too_long = 602,
+    pause_repeated = 603,
 };
 
 /** One row of the result code table. */
--- a/libs/dispatch/include/cardamomdeck/dispatch/admission.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/admission.h
@@ -34,6 +34,15 @@
  */
 milliseconds retryDelay(double latencyMs, const choice_request &request, random_source &random);
 
+/**
+ * Delay after which a caller may retry when all servers are paused; the first pause ends after @p untilEnd. Callers
+ * return spread over some time after it, those with requests of @p mostUrgentPriority first.
+ */
+milliseconds retryDelayAfterPause(milliseconds untilEnd,
+                                  std::uint32_t priority,
+                                  std::uint32_t mostUrgentPriority,
+                                  random_source &random);
+
 /**
  * Rejects a request that is expected to miss its deadline, and a request
  * without a @p choice. When the chosen server has no free slot, a request that
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -20,6 +20,9 @@
 /** Maximum jitter as a share of the retry delay; it keeps rejected callers from retrying at the same time. */
 constexpr double retryJitterShare = 0.5;
 
+/** Time after the end of a pause over which callers of one urgency return; less urgent ones follow after it. */
+constexpr double returnSpreadMs = 200.0;
+
 }
 
 double initialServiceTimeMs(double objectiveMs, double callerTimeoutMs)
@@ -35,6 +38,15 @@
     return milliseconds(std::max<std::int64_t>(1, std::llround(delayMs)));
 }
 
+milliseconds retryDelayAfterPause(milliseconds untilEnd,
+                                  std::uint32_t priority,
+                                  std::uint32_t mostUrgentPriority,
+                                  random_source &random)
+{
+    const double turn = priority > mostUrgentPriority ? 1.0 : 0.0;
+    return untilEnd + milliseconds(std::llround(returnSpreadMs * (turn + randomUnit(random))));
+}
+
 admission_decision admit(const std::optional<backend_choice> &choice,
                          const choice_request &request,
                          std::uint32_t priority,
--- a/libs/dispatch/tests/backendchoicetest.cpp
+++ b/libs/dispatch/tests/backendchoicetest.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace cardamomdeck;
@@ -129,3 +130,23 @@
     }
     cr_assert_gt(*std::ranges::max_element(delays) - *std::ranges::min_element(delays), 10);
 }
+
+TestSuite(return_of_callers_after_a_pause);
+
+Test(return_of_callers_after_a_pause, most_urgent_callers_return_first_and_all_are_spread)
+{
+    constexpr milliseconds untilEnd{1500};
+    random_source random{7};
+    milliseconds firstUrgent{milliseconds::max()};
+    milliseconds lastUrgent{0};
+    milliseconds firstOther{milliseconds::max()};
+    for (int i = 0; i < 200; ++i) {
+        const milliseconds urgent = retryDelayAfterPause(untilEnd, 1, 1, random);
+        firstUrgent = std::min(firstUrgent, urgent);
+        lastUrgent = std::max(lastUrgent, urgent);
+        firstOther = std::min(firstOther, retryDelayAfterPause(untilEnd, 3, 1, random));
+    }
+    cr_assert_geq(firstUrgent, untilEnd);
+    cr_assert_gt(lastUrgent - firstUrgent, milliseconds(100));
+    cr_assert_leq(lastUrgent, firstOther);
+}
