gateway: send nothing to servers that leave or have asked for a pause

Cause: an entry followed only the store's records of a server. A server that said in its responses that it leaves, or that it wants no requests for some time, went on getting them until the store said so, and through an outage of the store without end.

Change: announcement_recorder applies the announcements in responses that are proved to be the server's own: the request's id and no 421, or for a probe the server's id. Servers that leave or are paused are not chosen or probed, and no connection is opened to them. Idle connections to a server that leaves are closed; running exchanges end. If nobody is left, the caller is rejected at once (backends_withheld) with a Retry-After after the earliest end of a pause. Metrics, log lines and states in the fleet API show it.

--- a/daemon/connectionpool.cpp
+++ b/daemon/connectionpool.cpp
@@ -42,6 +42,11 @@
     }
 }
 
+void connection_pool::drop(const std::string &backend)
+{
+    m_idle.erase(backend);
+}
+
 void connection_pool::dropStale(const std::string &backend, time_point aliveSince)
 {
     const auto found = m_idle.find(backend);
--- a/daemon/connectionpool.h
+++ b/daemon/connectionpool.h
@@ -42,6 +42,9 @@
     /** Returns @p connection to the pool if it can carry another request. */
     void release(const std::string &backend, const connection_ptr &connection);
 
+    /** Closes all idle connections to @p backend. */
+    void drop(const std::string &backend);
+
     /** Closes idle connections to @p backend that were last alive before @p aliveSince. */
     void dropStale(const std::string &backend, time_point aliveSince);
 
--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -17,6 +17,12 @@
 
 std::string_view stateName(const backend_state &backend, time_point now)
 {
+    if (backend.availability->leavingSince()) {
+        return "leaving";
+    }
+    if (backend.availability->pausedUntil(now)) {
+        return "paused";
+    }
     if (backend.avoidedUntil > now) {
         return "avoided";
     }
@@ -80,6 +86,10 @@
     std::string text;
     for (const auto &[name, service] : m_dataPlane.services()) {
         service->metrics.append(text, name);
+        const withheld_backends withheld = withheldBackends(*service, now);
+        const std::string label = "service=\"" + name + "\"";
+        appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
+        appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
     }
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -54,9 +54,10 @@
     bool isAbandoned = false;
 };
 
-backend_prober::backend_prober(asio::io_context &context, connection_pool &pool)
+backend_prober::backend_prober(asio::io_context &context, connection_pool &pool, announcement_recorder &announcements)
     : m_context(context)
     , m_pool(pool)
+    , m_announcements(announcements)
 {
 }
 
@@ -75,10 +76,15 @@
     connection_ptr connection = m_pool.acquireIdle(backend->server.id, steady::now() - connection_pool::maxIdleTime);
     bool reused = connection != nullptr;
     for (;;) {
-        if (!connection) {
+        if (!connection && backend->availability->isAvailable(steady::now())) {
             connection = co_await connect(backend, deadline);
         }
-        if (!connection) {
+        // The server may have announced something since it was chosen.
+        result.withheld = !backend->availability->isAvailable(steady::now());
+        if (connection && result.withheld) {
+            m_announcements.releaseConnection(*backend, connection);
+        }
+        if (!connection || result.withheld) {
             co_return result;
         }
         ++service->metrics.probes;
@@ -103,9 +109,12 @@
             connection->close();
             co_return result;
         }
+        if (response.backendId == backend->server.id) {
+            m_announcements.record(*backend, response.announcement, "probe");
+        }
         if (!response.healthy) {
             markAvoided(*backend, "unhealthy", response.backendId);
-            m_pool.release(backend->server.id, connection);
+            m_announcements.releaseConnection(*backend, connection);
             co_return result;
         }
         result.load = response.load;
@@ -120,7 +129,9 @@
 {
     probe_result result = co_await sendProbe(service, backend);
     if (!result.answered) {
-        backend->health.recordFailure(steady::now());
+        if (!result.withheld) {
+            backend->health.recordFailure(steady::now());
+        }
     } else if (result.load) {
         service->slowdown.add(result.load->slowdown);
         service->probesWithoutLoad = 0;
@@ -130,7 +141,7 @@
     --batch->pending;
     if (batch->isAbandoned) {
         if (result.connection) {
-            m_pool.release(backend->server.id, result.connection);
+            m_announcements.releaseConnection(*backend, result.connection);
         }
         co_return;
     }
--- a/daemon/gateway/backendprober.h
+++ b/daemon/gateway/backendprober.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "announcementrecorder.h"
 #include "connectionpool.h"
 #include "servicestate.h"
 
@@ -29,14 +30,16 @@
     /** Number of requests sent to the server before the probe response arrived. */
     std::uint64_t sentBeforeProbe = 0;
     bool answered = false;
+    /** No probe was sent, because the server accepts none at present. */
+    bool withheld = false;
 };
 
 /** Sends probes and returns their results; does not choose a backend server. */
 class backend_prober
 {
 public:
-    /** Takes connections from @p pool. */
-    backend_prober(boost::asio::io_context &context, connection_pool &pool);
+    /** Takes connections from @p pool, and records announcements in probe responses with @p announcements. */
+    backend_prober(boost::asio::io_context &context, connection_pool &pool, announcement_recorder &announcements);
 
     /**
      * Probes @p backends of @p service concurrently and returns the results of
@@ -60,6 +63,7 @@
 
     boost::asio::io_context &m_context;
     connection_pool &m_pool;
+    announcement_recorder &m_announcements;
 };
 
 }
--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -33,7 +33,7 @@
 void backend_selector::releaseConnection(const chosen_backend &chosen)
 {
     if (chosen.connection) {
-        m_context.pool.release(chosen.backend->server.id, chosen.connection);
+        m_context.announcements.releaseConnection(*chosen.backend, chosen.connection);
     }
 }
 
@@ -43,7 +43,7 @@
     std::vector<backend_state_ptr> backends;
     for (const auto &[id, backend] : m_request.service->backends) {
         const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && backend->avoidedUntil <= now && !m_triedBackends.contains(id)) {
+        if (inZone == sameZone && backend->isUsable(now) && !m_triedBackends.contains(id)) {
             backends.push_back(backend);
         }
     }
@@ -73,7 +73,14 @@
     const time_point deadline = std::min(m_request.deadline, steady::now() + maxProbeWait);
     std::vector<probe_result> results
         = co_await m_context.prober.probe(m_request.service, std::move(probed), round.stragglerTimeout, deadline);
+    const time_point now = steady::now();
     for (probe_result &result : results) {
+        if (!result.backend->availability->isAvailable(now)) {
+            if (result.connection) {
+                m_context.announcements.releaseConnection(*result.backend, result.connection);
+            }
+            continue;
+        }
         if (result.connection || result.load) {
             m_probeResults.push_back(std::move(result));
         }
@@ -108,7 +115,7 @@
 {
     for (probe_result &result : m_probeResults) {
         if (result.connection) {
-            m_context.pool.release(result.backend->server.id, result.connection);
+            m_context.announcements.releaseConnection(*result.backend, result.connection);
         }
     }
     m_probeResults.clear();
@@ -139,7 +146,7 @@
         // Without probe results, only the entry's own counters are available.
         for (const bool sameZone : {true, false}) {
             for (const backend_state_ptr &backend : usableBackends(sameZone)) {
-                m_probeResults.push_back({backend, nullptr, std::nullopt, backend->sentRequests, false});
+                m_probeResults.push_back({backend, nullptr, std::nullopt, backend->sentRequests, false, false});
             }
         }
         choice = chooseFromProbeResults();
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -85,8 +85,9 @@
     , m_random(std::random_device()())
     , m_bodyMemory(static_cast<std::size_t>(bodyMemoryShare * static_cast<double>(settings.resources.memoryBytes)))
     , m_pool(context.get_executor())
-    , m_prober(context, m_pool)
-    , m_forwardingContext{context, m_pool, m_prober, m_random, m_bodyMemory, settings.zone}
+    , m_announcements(m_pool, m_random)
+    , m_prober(context, m_pool, m_announcements)
+    , m_forwardingContext{context, m_pool, m_prober, m_announcements, m_random, m_bodyMemory, settings.zone}
     , m_services(settings.vmName,
                  {settings.fleetLimits.retryWindow, settings.fleetLimits.retryRatio, settings.fleetLimits.retryReserve},
                  settings.fleetLimits.maxProbesPerSecond)
@@ -126,7 +127,8 @@
 {
     for (;;) {
         co_await sleepUntil(steady::now() + idleCheckPeriod);
-        m_pool.dropUnknown([this](const std::string &id) { return m_services.hasBackend(id); });
+        m_pool.dropUnknown([this](const std::string &id) { return m_services.hasServingBackend(id); });
+        m_services.removeUnusedAnnouncements(steady::now());
         m_pool.dropAllStale(steady::now() - connection_pool::maxIdleTime);
         m_pool.dropUnusable();
     }
@@ -322,6 +324,9 @@
     if (!answered) {
         line.add("retry_after_ms", outcome.retryAfter.count());
     }
+    if (outcome.withheld != withheld_backends()) {
+        line.add("backends_leaving", outcome.withheld.leaving).add("backends_paused", outcome.withheld.paused);
+    }
     line.info();
     forwarder.request().service->metrics.requestEnded(outcome.code, durationMs);
     m_history.add({forwarder.request().id, line.text()});
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -98,6 +98,7 @@
     random_source m_random;
     byte_budget m_bodyMemory;
     connection_pool m_pool;
+    announcement_recorder m_announcements;
     backend_prober m_prober;
     forwarding_context m_forwardingContext;
     service_table m_services;
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "announcementrecorder.h"
 #include "backendprober.h"
 #include "connectionpool.h"
 #include "servicestate.h"
@@ -28,6 +29,7 @@
     boost::asio::io_context &context;
     connection_pool &pool;
     backend_prober &prober;
+    announcement_recorder &announcements;
     random_source &random;
     /** Memory budget for the bodies of all requests and responses. */
     byte_budget &bodyMemory;
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -124,6 +124,9 @@
         }
         m_attempts.releaseReservation();
         m_outcome.retryAfter = decision.retryAfter;
+        if (!chosen) {
+            considerWithheldBackends();
+        }
         if (m_inFlightAttempts.empty()) {
             m_failureCode = m_mayHaveRun ? m_failureCode : (choice ? result_code::overloaded : m_failureCode);
             finishFailed();
@@ -175,12 +178,12 @@
 {
     const backend_state_ptr backend = chosen.backend;
     connection_ptr connection = chosen.connection;
-    if (!connection) {
+    if (!connection && backend->availability->isAvailable(steady::now())) {
         connection = co_await openConnection(backend);
     }
     if (m_finished) {
         if (connection) {
-            m_context.pool.release(backend->server.id, connection);
+            m_context.announcements.releaseConnection(*backend, connection);
         }
         co_return;
     }
@@ -188,9 +191,15 @@
     subtractSuspension();
     const time_point startedAt = steady::now();
     const auto remaining = std::chrono::floor<milliseconds>(m_request.deadline - startedAt);
-    if (!connection || remaining <= milliseconds(0)) {
-        result.code = result_code::connect_failed;
+    // The server may have announced something since it was chosen.
+    const bool withheld = !backend->availability->isAvailable(startedAt);
+    if (withheld || !connection || remaining <= milliseconds(0)) {
+        result.code = withheld ? result_code::backends_withheld : result_code::connect_failed;
+        if (connection) {
+            m_context.announcements.releaseConnection(*backend, connection);
+        }
     } else {
+        backend->availability->tryStartRequest(startedAt);
         std::ranges::find(m_inFlightAttempts, number, &attempt::number)->connection = connection;
         http_request message = m_request.message;
         platform::setBackendHeaders(message, backend->server.id, remaining);
@@ -204,7 +213,8 @@
         ++backend->sentRequests;
         result
             = co_await connection->exchange(std::move(message), responseLimits, m_request.deadline, std::move(rules));
-        m_context.pool.release(backend->server.id, connection);
+        updateAvailability(*backend, result);
+        m_context.announcements.releaseConnection(*backend, connection);
     }
     std::erase_if(m_inFlightAttempts,
                   [number](const attempt &inFlightAttempt) { return inFlightAttempt.number == number; });
@@ -221,6 +231,12 @@
         handleResponse(backend, std::move(result), startedAt);
         return;
     }
+    if (result.code == result_code::backends_withheld) {
+        m_attempts.cancelUnsent();
+        ++m_request.service->metrics.withheldRequests;
+        recordAttemptFailure(*backend, result.code, false, m_retryPending || m_attempts.tryReserve());
+        return;
+    }
     if (now < m_request.deadline) {
         backend->health.recordFailure(now);
     }
@@ -270,6 +286,41 @@
     finish(result_code::ok);
 }
 
+void request_forwarder::updateAvailability(backend_state &backend, const exchange_result &result)
+{
+    if (result.code != result_code::ok) {
+        backend.availability->recordFailure();
+        return;
+    }
+    const platform::response_kind kind = platform::classifyResponse(result.response, m_request.id);
+    if (kind != platform::response_kind::wrong_server && !m_request.id.empty()) {
+        m_context.announcements.record(backend, platform::decodeAnnouncement(result.response), m_request.id);
+    }
+    if (kind == platform::response_kind::valid) {
+        backend.availability->recordResponse();
+    } else {
+        backend.availability->recordFailure();
+    }
+}
+
+void request_forwarder::considerWithheldBackends()
+{
+    const time_point now = steady::now();
+    m_outcome.withheld = withheldBackends(*m_request.service, now);
+    if (m_outcome.withheld == withheld_backends()) {
+        return;
+    }
+    ++m_request.service->metrics.withheldRequests;
+    if (m_failedAttempts.empty()) {
+        m_failureCode = result_code::backends_withheld;
+    }
+    if (m_outcome.withheld.earliestEnd) {
+        const auto untilEnd = std::chrono::ceil<milliseconds>(*m_outcome.withheld.earliestEnd - now);
+        m_outcome.retryAfter
+            = retryDelayAfterPause(untilEnd, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
+    }
+}
+
 void request_forwarder::recordServiceTime(double durationMs)
 {
     if (!m_lastLoad || m_attempts.started() != 1 || m_lastLoad->running >= m_lastLoad->slots) {
--- a/daemon/gateway/requestforwarder.h
+++ b/daemon/gateway/requestforwarder.h
@@ -39,6 +39,8 @@
     byte_budget::reservation memory;
     /** Retry-After delay for the caller when the request was not served. */
     milliseconds retryAfter{0};
+    /** Servers that could not be asked; set if no other server was left. */
+    withheld_backends withheld;
 };
 
 /**
@@ -88,6 +90,10 @@
     boost::asio::awaitable<connection_ptr> openConnection(backend_state_ptr backend);
     void handleAttemptEnd(const backend_state_ptr &backend, exchange_result result, time_point startedAt);
     void handleResponse(const backend_state_ptr &backend, exchange_result result, time_point startedAt);
+    /** Records what @p backend announces with the result of an attempt, and whether it has answered. */
+    void updateAvailability(backend_state &backend, const exchange_result &result);
+    /** Sets the result of a request for which no server is left, if some accept no requests at present. */
+    void considerWithheldBackends();
     void recordServiceTime(double durationMs);
     void recordAttemptFailure(const backend_state &backend, result_code code, bool mayHaveRun, bool shouldRetry);
     /** Subtracts a suspension of the machine from the remaining time, because the caller's clock kept running. */
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -15,6 +15,21 @@
 
 }
 
+withheld_backends withheldBackends(const service_state &service, time_point now)
+{
+    withheld_backends withheld;
+    for (const auto &[id, backend] : service.backends) {
+        const auto pausedUntil = backend->availability->pausedUntil(now);
+        if (backend->availability->leavingSince()) {
+            ++withheld.leaving;
+        } else if (pausedUntil) {
+            ++withheld.paused;
+            withheld.earliestEnd = std::min(withheld.earliestEnd.value_or(*pausedUntil), *pausedUntil);
+        }
+    }
+    return withheld;
+}
+
 service_table::service_table(std::string entryName, retry_limits limits, double probesPerBackend)
     : m_entryName(std::move(entryName))
     , m_retryLimits(limits)
@@ -48,7 +63,9 @@
             const auto existing = service->backends.find(id);
             const bool keepsState
                 = existing != service->backends.end() && isSameIncarnation(existing->second->server, server);
-            updated[id] = keepsState ? existing->second : std::make_shared<backend_state>(server, m_entryName);
+            updated[id] = keepsState ? existing->second
+                                     : std::make_shared<backend_state>(
+                                         server, m_entryName, m_availability.find(id, server.startUnixMs));
             updated[id]->server = server;
         }
         service->backends = std::move(updated);
@@ -75,9 +92,17 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
-bool service_table::hasBackend(const std::string &id) const
+bool service_table::hasServingBackend(const std::string &id) const
+{
+    return std::ranges::any_of(m_services, [&](const auto &item) {
+        const auto found = item.second->backends.find(id);
+        return found != item.second->backends.end() && !found->second->availability->leavingSince();
+    });
+}
+
+void service_table::removeUnusedAnnouncements(time_point now)
 {
-    return std::ranges::any_of(m_services, [&](const auto &item) { return item.second->backends.contains(id); });
+    m_availability.removeUnused(now);
 }
 
 const std::map<std::string, service_state_ptr> &service_table::services() const
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -7,6 +7,8 @@
 #include "trafficmetrics.h"
 
 #include "cardamomdeck/base/clock.h"
+#include "cardamomdeck/base/resultcode.h"
+#include "cardamomdeck/dispatch/backendavailability.h"
 #include "cardamomdeck/dispatch/backendhealth.h"
 #include "cardamomdeck/dispatch/candidateorder.h"
 #include "cardamomdeck/dispatch/loadreport.h"
@@ -18,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,16 +29,24 @@
 /** State of one backend server at this entry. */
 struct backend_state
 {
-    /** State of @p backendServer at the entry called @p entryName. */
-    backend_state(backend_server backendServer, const std::string &entryName)
+    /** State of @p backendServer, whose announcements are in @p serverAvailability, at the entry called @p entryName.
+     */
+    backend_state(backend_server backendServer,
+                  const std::string &entryName,
+                  backend_availability_ptr serverAvailability)
         : server(std::move(backendServer))
         , score(rendezvousScore(entryName, server.id))
+        , availability(std::move(serverAvailability))
     {
     }
 
     backend_server server;
     /** Rendezvous hashing score; see rendezvousScore(). */
     std::size_t score;
+    /** What the server has announced; goes before anything that the store or a peer reports of this incarnation. */
+    backend_availability_ptr availability;
+    /** Problem of the last announcement, or ok. */
+    result_code lastAnnouncementProblem = result_code::ok;
     backend_health health;
     /** Requests that were sent and have no response yet. */
     std::uint32_t inFlight = 0;
@@ -44,6 +55,12 @@
     /** Receives no requests before this time: it reported itself unhealthy, or its address belongs to another server.
      */
     time_point avoidedUntil;
+
+    /** Returns true if requests may be sent to the server at @p now. */
+    bool isUsable(time_point now) const
+    {
+        return avoidedUntil <= now && availability->isAvailable(now);
+    }
 };
 
 using backend_state_ptr = std::shared_ptr<backend_state>;
@@ -78,6 +95,20 @@
 
 using service_state_ptr = std::shared_ptr<service_state>;
 
+/** Servers of a service that accept no requests of this entry because of their own announcements. */
+struct withheld_backends
+{
+    std::size_t leaving = 0;
+    std::size_t paused = 0;
+    /** Earliest end of a pause. */
+    std::optional<time_point> earliestEnd;
+
+    bool operator==(const withheld_backends &) const = default;
+};
+
+/** The servers of @p service that accept no requests at @p now because of their own announcements. */
+withheld_backends withheldBackends(const service_state &service, time_point now);
+
 /** All services; kept current with the view of the fleet. */
 class service_table
 {
@@ -94,8 +125,11 @@
     /** The service called @p name, or null when neither the configuration nor a server names it. */
     service_state_ptr find(const std::string &name) const;
 
-    /** True when a service has the server called @p id. */
-    bool hasBackend(const std::string &id) const;
+    /** True when a service has the server called @p id and it is not leaving. */
+    bool hasServingBackend(const std::string &id) const;
+
+    /** Drops announcements of servers that are no longer registered, once they have no effect. */
+    void removeUnusedAnnouncements(time_point now);
 
     /** All services by name. */
     const std::map<std::string, service_state_ptr> &services() const;
@@ -108,6 +142,7 @@
     retry_limits m_retryLimits;
     double m_probesPerBackend;
     std::map<std::string, service_state_ptr> m_services;
+    backend_availability_table m_availability;
     /** Parts of the last applied view; views often differ only in their members. */
     traffic_config_ptr m_config;
     backends_by_service_ptr m_backends;
--- a/daemon/trafficmetrics.cpp
+++ b/daemon/trafficmetrics.cpp
@@ -50,6 +50,7 @@
     appendMetric(text, "retries_total", label, static_cast<double>(retries));
     appendMetric(text, "hedges_total", label, static_cast<double>(hedges));
     appendMetric(text, "probes_total", label, static_cast<double>(probes));
+    appendMetric(text, "withheld_requests_total", label, static_cast<double>(withheldRequests));
     if (accumulators::count(m_latency) == 0) {
         return;
     }
--- a/daemon/trafficmetrics.h
+++ b/daemon/trafficmetrics.h
@@ -38,6 +38,8 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t probes = 0;
+    /** Requests kept from servers that are leaving or paused, after the choice or because no other server was left. */
+    std::uint64_t withheldRequests = 0;
 
 private:
     using latency_statistics = boost::accumulators::accumulator_set<
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -154,7 +154,7 @@
             "m_pool.dropUnusable();", "",
             "exhaustion_test.py IdleConnections.test_endless_bytes_after_a_complete_response_close_the_connection"),
     Removal("platform: connections to removed servers are closed", "daemon/gateway/dataplane.cpp",
-            "m_pool.dropUnknown([this](const std::string &id) { return m_services.hasBackend(id); });", "",
+            "m_pool.dropUnknown([this](const std::string &id) { return m_services.hasServingBackend(id); });", "",
             "exhaustion_test.py IdleConnections.test_connections_to_removed_server_are_closed"),
     Removal("platform: limit of the read buffer of a backend connection", "libs/http/src/httpconnection.cpp",
             "m_state->buffer.max_size(limits.maxHeaderBytes + bodyReadBytes);", "", "http_test"),
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -7,7 +7,10 @@
  * /control changes the behavior:
  *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late" |
  *             "unsealed" | "cut",
- *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N}
+ *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N,
+ *    "leaving": bool, "retry_after": TEXT}
+ * With "leaving" every response announces that the server leaves; "retry_after"
+ * is the pause that each rejection asks for, empty for none.
  * Any other request waits for a slot, is executed for the service time, and is
  * recorded under its Attempt-Id or x-request-id.
  *
@@ -37,6 +40,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, name, "backend", "Name of this backend server, sent in responses.");
 ABSL_FLAG(std::string, listen, "127.0.0.1:9100", "IP:port to listen on.");
@@ -115,6 +119,7 @@
 
     asio::awaitable<http_response> execute(http_request &request, http_exchange &exchange)
     {
+        m_arrivals.emplace_back(request["Attempt-Id"]);
         if (m_mode == "fail_fast") {
             co_return withServerHeaders(makeResponse(500, "{}"));
         }
@@ -122,6 +127,9 @@
             http_response response = makeResponse(503, "{}");
             response.set("x-refused", "before-start");
             response.set("Not-Executed", "1");
+            if (!m_retryAfter.empty()) {
+                response.set(http::field::retry_after, m_retryAfter);
+            }
             ++m_refusals;
             co_return withServerHeaders(std::move(response));
         }
@@ -168,6 +176,9 @@
         if (m_draining) {
             response.set("x-draining", "true");
         }
+        if (m_leaving) {
+            response.set("Server-Leaving", "1");
+        }
         return response;
     }
 
@@ -179,6 +190,8 @@
         }
         m_mode = command.value("mode", m_mode);
         m_draining = command.value("draining", m_draining);
+        m_leaving = command.value("leaving", m_leaving);
+        m_retryAfter = command.value("retry_after", m_retryAfter);
         m_serviceMs = command.value("service_ms", m_serviceMs);
         m_maxQueueLength = command.value("queue", m_maxQueueLength);
         m_responseDelay = milliseconds(command.value("late_ms", m_responseDelay.count()));
@@ -203,6 +216,7 @@
                                   {"refusals", m_refusals},
                                   {"probes", m_probes},
                                   {"ids", ids},
+                                  {"arrivals", m_arrivals},
                                   {"runs", executionsById}})
                                 .dump());
     }
@@ -221,6 +235,8 @@
     std::uint32_t m_maxQueueLength;
     std::string m_mode = "ok";
     bool m_draining = false;
+    bool m_leaving = false;
+    std::string m_retryAfter;
     milliseconds m_responseDelay{0};
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_running = 0;
@@ -229,6 +245,8 @@
     std::uint64_t m_refusals = 0;
     std::uint64_t m_probes = 0;
     std::map<std::string, std::uint32_t> m_executionsById;
+    /** Ids of all requests, including rejected ones, in the order of their arrival. */
+    std::vector<std::string> m_arrivals;
     http_server m_server;
 };
 
