soak: servers that announce that they leave, and that ask for pauses

Change: two faults (a server announces that it leaves and is replaced, one or all servers reject with pauses of 0.5 to 3 s, several in a row), and checks by process of an entry: no request that a caller sent 2 s after it had got such a response reaches the server; two requests at most reach a server between half a second after a rejection with a pause and its end. A restart, a pause of the entry or a disrupted link excuses it. The stand-in tells when requests arrived.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import json
 import random
 import shutil
 import signal
@@ -32,6 +33,7 @@
 # Documented bounds: a change is in force, and a draining server gets no requests, after 2 s.
 # Time bounds are not checked until 3 s after a fault.
 IN_FORCE_SECONDS, DRAIN_SECONDS, RECOVERY_SECONDS = 2.0, 2.0, 3.0
+MAX_REQUESTS_IN_PAUSE = 2
 BACKEND_MODES = ("ok", "refuse", "fail_fast", "answer_late", "unsealed", "cut")
 # Modes of the raw backend server: duplicate, truncated and endless responses.
 RAW_MODES = ("second_copy", "cut", "cut_chunked", "reset_unframed", "endless_chunks", "endless_unframed",
@@ -53,6 +55,11 @@
         self.backends = [self.fleet.add_backend(f"s-{number}", service_ms=8) for number in range(backends)]
         self.raw = RawBackend(self.fleet.store, "raw-1")
 
+        # Servers that are about to be replaced by a new instance.
+        self.leaving_backends = set()
+        # Times at which backend servers announced that they leave, and disrupted links, by name of the server.
+        self.leaving_periods, self.link_faults = collections.defaultdict(list), collections.defaultdict(list)
+
     def record_fault(self, fault):
         self.faults.append(f"{time.monotonic() - self.soak_started_at:.2f} {fault}")
 
@@ -116,7 +123,8 @@
 
     async def inject_faults(self, until):
         fault_kinds = [self.kill, self.terminate, self.pause, self.disrupt_backend_link, self.inject_backend_fault,
-                       self.inject_raw_backend_fault, self.inject_store_fault, self.new_config, self.drain_backend]
+                       self.inject_raw_backend_fault, self.inject_store_fault, self.new_config, self.drain_backend,
+                       self.announce_leaving, self.ask_for_pauses]
         # With few kinds there are periods in which time bounds are checked; with many kinds, faults overlap.
         fault_kinds = self.random.sample(fault_kinds, self.random.randint(2, len(fault_kinds))) + [self.new_config]
         running = set()
@@ -129,7 +137,7 @@
             proxy.set_mode("ok")
         for backend in self.backends:
             backend_address, backend.address = backend.address, backend.direct
-            backend.control(mode="ok")
+            backend.control(mode="ok", leaving=False, retry_after="")
             backend.address = backend_address
         self.fleet.store.control(mode="ok", delay_ms=0)
 
@@ -179,9 +187,12 @@
         proxy = self.random.choice(self.proxies)
         mode = self.random.choice(MODES[1:])
         self.record_fault(f"link {self.proxies.index(proxy)} {mode}")
+        started_at = time.monotonic()
         proxy.set_mode(mode)
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         proxy.set_mode("ok")
+        name = self.backends[self.proxies.index(proxy)].name
+        self.link_faults[name].append((started_at, time.monotonic() + RECOVERY_SECONDS))
 
     async def inject_backend_fault(self):
         backend = self.random.choice(self.backends)
@@ -198,9 +209,41 @@
         self.raw.mode = "ok"
 
     @staticmethod
-    def control(backend, mode):
+    def control(backend, mode, **values):
         from fleet import ask
-        ask(backend.direct, "POST", "/control", '{"mode": "%s", "late_ms": 200}' % mode)
+        ask(backend.direct, "POST", "/control", json.dumps({"mode": mode, "late_ms": 200} | values))
+
+    async def announce_leaving(self):
+        """A server announces in its responses that it leaves, and reports it later or not at all."""
+        backend = self.random.choice(self.backends)
+        if backend.name in self.leaving_backends:
+            return
+        self.record_fault(f"{backend.name} announces that it leaves")
+        self.leaving_backends.add(backend.name)
+        period = [time.monotonic(), float("inf")]
+        self.leaving_periods[backend.name].append(period)
+        await asyncio.to_thread(self.control, backend, "ok", leaving=True)
+        await asyncio.sleep(self.random.uniform(1.0, 5.0))
+        period[1] = time.monotonic()
+        await asyncio.to_thread(self.control, backend, "ok", leaving=False)
+        self.replace(backend)
+
+    def replace(self, backend):
+        """The next reports are those of a new instance."""
+        backend.born, backend.state = int(time.time() * 1000), "ready"
+        self.leaving_backends.discard(backend.name)
+
+    async def ask_for_pauses(self):
+        """One or all servers reject requests for a moment and ask for a pause, several times in a row."""
+        backends = self.random.choice((self.backends, [self.random.choice(self.backends)]))
+        for _ in range(self.random.randint(1, 3)):
+            seconds = f"{self.random.uniform(0.5, 3.0):.2f}"
+            self.record_fault(f"{len(backends)} servers ask for a pause of {seconds} s")
+            for backend in backends:
+                await asyncio.to_thread(self.control, backend, "refuse", retry_after=seconds)
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
+            for backend in backends:
+                await asyncio.to_thread(self.control, backend, "ok", retry_after="")
 
     async def inject_store_fault(self):
         mode = self.random.choice(("down", "lose_answers"))
@@ -216,9 +259,10 @@
 
     async def drain_backend(self):
         backend = self.random.choice(self.backends)
-        if getattr(backend, "state", "ready") != "ready":
+        if backend.name in self.leaving_backends:
             return
         self.record_fault(f"drain {backend.name}")
+        self.leaving_backends.add(backend.name)
         backend.state = "draining"
         if await self.try_store_call(backend.report, "draining"):
             acknowledged = time.monotonic()
@@ -228,8 +272,7 @@
             after = await asyncio.to_thread(self.started_requests, backend)
             if after > before and self.was_stable(acknowledged - RECOVERY_SECONDS, time.monotonic()):
                 self.drain_violations.append(f"{backend.name} received {after - before} requests while draining")
-        # The next reports are those of a new instance.
-        backend.born, backend.state = int(time.time() * 1000), "ready"
+        self.replace(backend)
 
     @staticmethod
     def started_requests(backend):
@@ -256,15 +299,47 @@
                 violations.append(f"{result.request_id} was handled by an older version than before at {result.entry}")
         return violations
 
+    def check_announcements(self, backend, arrivals):
+        """Returns requests that reached @p backend against what it had announced to the same process of an entry."""
+        violations = []
+        results = {result.request_id: result for result in self.results}
+        arrived = {request_id for request_id, _, _ in arrivals}
+        for leaving_from, leaving_until in self.leaving_periods[backend.name]:
+            told_at = {}
+            for result in sorted(self.results, key=lambda item: item.ended_at):
+                in_period = leaving_from < result.started_at and result.ended_at < leaving_until
+                if not in_period or not result.status:
+                    continue
+                if result.headers.get("server-leaving") and result.headers.get("server-seal") == backend.name:
+                    told_at.setdefault(result.process, result.ended_at)
+                told = told_at.get(result.process)
+                if told and result.started_at > told + DRAIN_SECONDS and result.request_id in arrived \
+                        and result.entry not in self.paused_entries:
+                    violations.append(f"{result.request_id} reached {backend.name}, which was leaving")
+        for request_id, at_ms, retry_after in arrivals:
+            start, end = at_ms / 1000 + 0.5, at_ms / 1000 + float(retry_after or 0)
+            faults = self.link_faults[backend.name]
+            told = results.get(request_id)
+            if start >= end or told is None or told.entry in self.paused_entries \
+                    or any(first < end and start - 0.5 < last for first, last in faults):
+                continue
+            later = [other for other, other_ms, _ in arrivals if start < other_ms / 1000 < end
+                     and results.get(other) and results[other].process == told.process]
+            if len(later) > MAX_REQUESTS_IN_PAUSE:
+                violations.append(f"{len(later)} requests reached {backend.name} in the pause after {request_id}, "
+                                  f"the first {later[0]}")
+        return violations
+
     def find_violations(self, settled_at):
         """Returns all violated invariants as text; 90 % of the requests after @p settled_at must be served."""
         from fleet import ask
         executions = dict(collections.Counter(self.raw.requests))
+        violations = self.drain_violations + self.check_versions()
         for backend in self.backends:
             counts = ask(backend.direct, "GET", "/counts").json
             for request_id, count in counts["runs"].items():
                 executions[request_id] = executions.get(request_id, 0) + count
-        violations = self.drain_violations + self.check_versions()
+            violations += self.check_announcements(backend, counts["arrivals"])
         for result in self.results:
             execution_count = executions.get(result.request_id, 0)
             if result.path.startswith("/weigh") and execution_count > 1:
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -61,6 +61,14 @@
 constexpr milliseconds slotPollPeriod{1};
 constexpr milliseconds freezeDuration{600'000};
 
+/** Arrival of a request; with a pause if it was rejected with one. */
+struct arrival
+{
+    std::string id;
+    double atMs = 0;
+    std::string retryAfter;
+};
+
 /** Backend server with slots and a queue. A queued request starts when a slot is free and is not abandoned before. */
 class slot_backend
 {
@@ -119,7 +127,8 @@
 
     asio::awaitable<http_response> execute(http_request &request, http_exchange &exchange)
     {
-        m_arrivals.emplace_back(request["Attempt-Id"]);
+        m_arrivals.push_back(
+            {std::string(request["Attempt-Id"]), toMilliseconds(steady::now().time_since_epoch()), ""});
         if (m_mode == "fail_fast") {
             co_return withServerHeaders(makeResponse(500, "{}"));
         }
@@ -129,6 +138,7 @@
             response.set("Not-Executed", "1");
             if (!m_retryAfter.empty()) {
                 response.set(http::field::retry_after, m_retryAfter);
+                m_arrivals.back().retryAfter = m_retryAfter;
             }
             ++m_refusals;
             co_return withServerHeaders(std::move(response));
@@ -216,11 +226,21 @@
                                   {"refusals", m_refusals},
                                   {"probes", m_probes},
                                   {"ids", ids},
-                                  {"arrivals", m_arrivals},
+                                  {"arrivals", arrivals()},
                                   {"runs", executionsById}})
                                 .dump());
     }
 
+    /** Each arrival as [id, time in milliseconds of the monotonic clock, pause that its rejection asks for]. */
+    json arrivals() const
+    {
+        json list = json::array();
+        for (const arrival &item : m_arrivals) {
+            list.push_back(json::array({item.id, item.atMs, item.retryAfter}));
+        }
+        return list;
+    }
+
     template<typename duration>
     asio::awaitable<void> sleep(duration waitTime)
     {
@@ -245,8 +265,8 @@
     std::uint64_t m_refusals = 0;
     std::uint64_t m_probes = 0;
     std::map<std::string, std::uint32_t> m_executionsById;
-    /** Ids of all requests, including rejected ones, in the order of their arrival. */
-    std::vector<std::string> m_arrivals;
+    /** All requests, including rejected ones, in the order of their arrival. */
+    std::vector<arrival> m_arrivals;
     http_server m_server;
 };
 
--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -59,7 +59,7 @@
 
     def arrivals(self, backend):
         """Requests that have reached @p backend, by entry."""
-        return collections.Counter(request_id.split(":")[0] for request_id in backend.counts()["arrivals"])
+        return collections.Counter(request_id.split(":")[0] for request_id, _, _ in backend.counts()["arrivals"])
 
     def assert_receives_nothing(self, backend, seconds, probes=True):
         before, probes_before = self.arrivals(backend), backend.counts()["probes"]
