http: reject transfer codings other than chunked

Cause: Beast treats a message with such a coding as one without a body, and nothing checked it. A response with one was passed on without the header that names its coding.

Change: a message has no transfer coding or exactly one, chunked, in HTTP/1.1 (RFC 9112, 6.1 and 6.3). Requests otherwise get 400 and their connection is closed, responses end as answer_malformed.

Contradictory and repeated lengths were rejected before as well.

--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -3,6 +3,7 @@
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/tasks.h"
 #include "private/bodymemory.h"
+#include "private/transfercoding.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -156,6 +157,9 @@
     if (headerError) {
         co_return codeOfReadError(headerError);
     }
+    if (!hasSupportedTransferCoding(parser.get())) {
+        co_return result_code::answer_malformed;
+    }
     parser.eager(true);
     while (!parser.is_done()) {
         if (!reserveBodyMemory(parser, memory)) {
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "cardamomdeck/http/tasks.h"
 #include "private/bodymemory.h"
+#include "private/transfercoding.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -221,10 +222,12 @@
 {
     enterReadPhase(read_phase::head);
     const auto [error, size] = co_await http::async_read_header(m_socket, m_buffer, parser, asTuple);
-    if (!error) {
+    if (!error && hasSupportedTransferCoding(parser.get())) {
         co_return true;
     }
-    if (m_timedOut) {
+    if (!error) {
+        reject(result_code::request_malformed);
+    } else if (m_timedOut) {
         reject(result_code::request_incomplete);
     } else if (isHttpError(error) && error != http::error::end_of_stream && error != http::error::partial_message) {
         reject(codeOfRequestError(error));
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -180,6 +180,18 @@
     cr_assert_neq(connection_fixture({{header + "half"}, "", true}).exchange().code, result_code::ok);
 }
 
+// Guards against a body whose coding the caller is not told of, or that ends at another place than the server means.
+Test(truncated_responses, unknown_transfer_coding_is_rejected)
+{
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, chunked", "identity", "chunked, identity", ""}) {
+        const std::string header = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+        connection_fixture fixture({{header + "4\r\nbody\r\n0\r\n\r\n"}, "", false});
+        cr_assert_eq(fixture.exchange().code, result_code::answer_malformed, "%s", coding.c_str());
+        cr_assert_not(fixture.connection.isIdle());
+    }
+}
+
 TestSuite(unbounded_responses);
 
 Test(unbounded_responses, exchange_fails_after_too_many_interim_responses)
--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -249,6 +249,59 @@
     cr_assert(fixture.receiveAll(caller).ends_with("small"));
 }
 
+TestSuite(contradictory_framing);
+
+// Guards against request smuggling: the body of a request is served as a further request.
+Test(contradictory_framing, is_rejected_and_nothing_after_it_is_served)
+{
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string chunked = "0\r\n\r\n";
+    const std::vector<std::string> framings{
+        "Transfer-Encoding: gzip\r\n\r\n" + hidden,
+        "Transfer-Encoding: identity\r\n\r\n" + hidden,
+        "Transfer-Encoding: chunked, identity\r\n\r\n" + hidden,
+        "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunked,
+        "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunked,
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n" + chunked,
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
+        "Transfer-Encoding: xchunked\r\n\r\n" + hidden,
+        "Transfer-Encoding: \r\n\r\n" + hidden,
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunked,
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
+        "Content-Length: 0\r\nContent-Length: 36\r\n\r\n" + hidden,
+        "Content-Length: 0, 36\r\n\r\n" + hidden,
+        "Content-Length: +5\r\n\r\nabcde",
+        "Content-Length: -1\r\n\r\n" + hidden,
+    };
+    for (const std::string &framing : framings) {
+        int served = 0;
+        server_fixture fixture(
+            [&](http_request &request, http_exchange &) { return countAndRespond(request, served, 0); });
+        tcp::socket caller = fixture.connect("POST / HTTP/1.1\r\nHost: a\r\n" + framing + hidden);
+        const std::string response = fixture.receiveAll(caller);
+        cr_assert(response.starts_with("HTTP/1.1 400"), "%s", framing.c_str());
+        cr_assert_eq(response.find("HTTP/1.1", 1), std::string::npos, "%s", framing.c_str());
+        cr_assert_eq(served, 0, "%s", framing.c_str());
+    }
+    // HTTP/1.0 has no transfer codings.
+    int served = 0;
+    server_fixture fixture([&](http_request &request, http_exchange &) { return countAndRespond(request, served, 0); });
+    tcp::socket caller = fixture.connect("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked + hidden);
+    cr_assert_neq(fixture.receiveAll(caller).find(" 400 "), std::string::npos);
+    cr_assert_eq(served, 0);
+}
+
+Test(contradictory_framing, usual_framings_are_served)
+{
+    for (const std::string framing : {"Content-Length: 5\r\n\r\nabcde",
+                                      "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+                                      "Transfer-Encoding: Chunked\r\n\r\n5;x=y\r\nabcde\r\n0\r\nt: v\r\n\r\n"}) {
+        server_fixture fixture(echo);
+        tcp::socket caller = fixture.connect("POST / HTTP/1.1\r\nHost: a\r\n" + framing);
+        cr_assert(fixture.receiveAll(caller).ends_with("abcde"), "%s", framing.c_str());
+    }
+}
+
 TestSuite(full_pipeline);
 
 // Guards against a close that is noticed only after a response: a connection with a full pipeline was not read.
