fleet: a view requested after a delay is as old as announced

Cause: the age in a heartbeat was subtracted from the time of the request. With a relayed announcement the request waits for the relay first.

Change: applyHeartbeat() returns the time at which the announced view was current, and applyViewResponse() takes that time.

Result: relayed_updates/delay_of_the_view_request... passes: the view counts as fresh until the peer's read.

--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -183,8 +183,9 @@
     const fleet_state::heartbeat_result result = m_state.applyHeartbeat(heartbeat, now);
     if (result.shouldRequestView && m_pendingViewRequests == 0) {
         const auto pendingGuard = std::make_shared<count_guard<unsigned>>(m_pendingViewRequests);
-        startTask(
-            m_context, "view_question", [this, heartbeat, pendingGuard] { return requestViewFromPeer(heartbeat); });
+        startTask(m_context, "view_question", [this, heartbeat, freshAt = result.announcedFreshAt, pendingGuard] {
+            return requestViewFromPeer(heartbeat, freshAt);
+        });
     }
     if (result.viewChanged) {
         log_line("view_changed")
@@ -245,7 +246,8 @@
     return config_source{std::move(*config), std::move(**text)};
 }
 
-asio::awaitable<void> control_plane::requestViewFromPeer(heartbeat_message heartbeat)
+asio::awaitable<void> control_plane::requestViewFromPeer(heartbeat_message heartbeat,
+                                                         std::optional<time_point> announcedFreshAt)
 {
     if (heartbeat.relayed) {
         const double jitterMs = randomUnit(m_random) * static_cast<double>(relayJitter.count());
@@ -254,7 +256,6 @@
             co_return;
         }
     }
-    const time_point requestedAt = steady::now();
     const view_request request = m_state.makeViewRequest();
     const auto response = co_await m_transport.requestView(heartbeat.sender.host, request);
     if (!response) {
@@ -262,7 +263,7 @@
     }
     std::optional<config_source> config = decodeUpdatedConfig(*response);
     const bool wasReady = m_state.members().self().ready;
-    if (m_state.applyViewResponse(*response, std::move(config), heartbeat.viewAge, requestedAt, steady::now())) {
+    if (m_state.applyViewResponse(*response, std::move(config), announcedFreshAt, steady::now())) {
         log_line("view_changed")
             .add("source", heartbeat.sender.name)
             .add("config_from", request.position.configVersion)
--- a/daemon/gateway/controlplane.h
+++ b/daemon/gateway/controlplane.h
@@ -61,7 +61,8 @@
     boost::asio::awaitable<void> storeReadLoop();
     boost::asio::awaitable<void> heartbeatLoop();
     boost::asio::awaitable<void> readStore();
-    boost::asio::awaitable<void> requestViewFromPeer(heartbeat_message heartbeat);
+    boost::asio::awaitable<void> requestViewFromPeer(heartbeat_message heartbeat,
+                                                     std::optional<time_point> announcedFreshAt);
     void handleHeartbeat(const heartbeat_message &heartbeat);
     void handleViewUpdate(const view_update &update);
     /** The configuration in @p changes, if it is newer; logs one that cannot be restored or decoded. */
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -60,6 +60,8 @@
          * servers that have been removed since, unless one of its own store reads has failed.
          */
         bool shouldRequestView = false;
+        /** Time at which the sender's view was still current, if the heartbeat states its age. */
+        std::optional<time_point> announcedFreshAt;
         /** The sender is new, was not alive or has changed. */
         bool memberChanged = false;
         /** The heartbeat carried backend changes that changed the view. */
@@ -72,13 +74,13 @@
     heartbeat_result applyHeartbeat(const heartbeat_message &message, time_point now);
 
     /**
-     * Applies a peer's response to a view request sent at @p requestedAt; returns true when the view changed. @p config
-     * is the restored configuration, if any, and @p age the peer's view age.
+     * Applies a peer's response to a view request; returns true when the view changed. @p config is the restored
+     * configuration, if any. @p freshAt is the time that the heartbeat that caused the request announced; the response
+     * itself has no age.
      */
     bool applyViewResponse(const view_response &response,
                            std::optional<config_source> config,
-                           std::optional<milliseconds> age,
-                           time_point requestedAt,
+                           std::optional<time_point> freshAt,
                            time_point now);
 
     /** A request for the changes after the position of this view. */
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -107,6 +107,9 @@
     for (const gossiped_member &gossiped : message.gossipedMembers) {
         m_members.recordGossip(gossiped.member, now - gossiped.age, now);
     }
+    if (message.viewAge) {
+        result.announcedFreshAt = now - *message.viewAge;
+    }
     if (!message.viewAge || !canBootstrapFrom(*message.viewAge)) {
         return result;
     }
@@ -170,16 +173,15 @@
 
 bool fleet_state::applyViewResponse(const view_response &response,
                                     std::optional<config_source> config,
-                                    std::optional<milliseconds> age,
-                                    time_point requestedAt,
+                                    std::optional<time_point> freshAt,
                                     time_point now)
 {
     for (const fleet_member &member : response.members) {
         m_members.recordDiscovered(member, now);
     }
     m_membershipKnown = m_membershipKnown || !response.members.empty();
-    if (age) {
-        recordFresh(requestedAt - *age, now);
+    if (freshAt) {
+        recordFresh(*freshAt, now);
     }
     bool changed = false;
     if (config) {
@@ -188,7 +190,7 @@
     for (const backend_record &record : response.backends) {
         changed = m_backends.apply(record, now) || changed;
     }
-    if (age) {
+    if (freshAt) {
         m_configEndOffset = std::max(m_configEndOffset, response.position.configEndOffset);
         m_backends.advanceTo(response.position.backendsEndOffset);
     }
--- a/libs/fleet/tests/fleetfixture.h
+++ b/libs/fleet/tests/fleetfixture.h
@@ -73,7 +73,8 @@
 inline void exchangeHeartbeat(fleet_state &from, fleet_state &to, time_point now)
 {
     const heartbeat_message heartbeat = from.basicHeartbeat(now);
-    if (!to.applyHeartbeat(heartbeat, now).shouldRequestView) {
+    const fleet_state::heartbeat_result result = to.applyHeartbeat(heartbeat, now);
+    if (!result.shouldRequestView) {
         return;
     }
     const view_response response = from.makeViewResponse(to.makeViewRequest(), now);
@@ -81,7 +82,7 @@
     if (response.config) {
         newerConfig = makeConfig(response.position.configVersion);
     }
-    to.applyViewResponse(response, newerConfig, heartbeat.viewAge, now, now);
+    to.applyViewResponse(response, newerConfig, result.announcedFreshAt, now);
 }
 
 }
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -82,7 +82,7 @@
     cr_assert(second.applyHeartbeat(first.basicHeartbeat(startTime), startTime).shouldRequestView);
     cr_assert_not(second.applyHeartbeat(first.basicHeartbeat(startTime), startTime).shouldRequestView);
     second.applyViewResponse(
-        first.makeViewResponse({second.position()}, startTime), std::nullopt, milliseconds(0), startTime, startTime);
+        first.makeViewResponse({second.position()}, startTime), std::nullopt, startTime, startTime);
     cr_assert_eq(second.members().peers().size(), 2);
 }
 
@@ -96,7 +96,7 @@
     view_response stale;
     stale.config = {4, 0, "v4"};
     stale.position.configVersion = 4;
-    entry.applyViewResponse(stale, makeConfig(4), milliseconds(0), startTime, startTime);
+    entry.applyViewResponse(stale, makeConfig(4), startTime, startTime);
     cr_assert_eq(entry.view(startTime)->config->version, 5);
 }
 
--- a/libs/fleet/tests/relayedupdatetest.cpp
+++ b/libs/fleet/tests/relayedupdatetest.cpp
@@ -85,3 +85,23 @@
     cr_assert_not(peer.isUpToDateWith(reader.position()));
     cr_assert_leq(peer.freshAt(), startTime);
 }
+
+// Guards against a view that counts as current for longer: its age was counted from the request, not from the
+// heartbeat.
+Test(relayed_updates, delay_of_the_view_request_does_not_refresh_the_view)
+{
+    fleet_state reader = makeStateWithPeers("e1", 30);
+    fleet_state peer = makeStateWithPeers("e2", 30);
+    reader.applyStoreRead(makeStoreRead(startTime, 3, {}), startTime);
+    peer.applyStoreRead(makeStoreRead(startTime, 3, {}), startTime);
+    const time_point readAt = startTime + milliseconds(700);
+    reader.applyStoreRead(makeStoreRead(readAt, 4, makeBackendRecords(20)), readAt);
+    const time_point heardAt = readAt + milliseconds(30);
+    const auto result = peer.applyHeartbeat(reader.basicHeartbeat(heardAt), heardAt);
+    cr_assert(result.shouldRequestView);
+    const time_point requestedAt = heardAt + milliseconds(400);
+    const view_response response = reader.makeViewResponse(peer.makeViewRequest(), requestedAt);
+    peer.applyViewResponse(response, makeConfig(4), result.announcedFreshAt, requestedAt);
+    cr_assert_eq(peer.view(requestedAt)->backends->at("lots").size(), 20);
+    cr_assert_leq(peer.freshAt(), readAt);
+}
