fleet: ignore an implausible start of an entry's own name

Cause: isSelf() takes any later start for that of an earlier incarnation whose clock was ahead.

Result: implausible_start_of_the_own_name_is_ignored passes; the condition that it covers was missing before.

--- a/libs/fleet/include/cardamomdeck/fleet/membertable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/membertable.h
@@ -68,6 +68,10 @@
     /** Time without a heartbeat after which a member is removed. */
     static constexpr milliseconds removalTimeout{60'000};
 
+    /** Largest step back of the clock between two starts that a restarted entry makes up for; see laterIncarnation().
+     */
+    static constexpr milliseconds maxClockSetback{24 * 3600 * 1000};
+
     /** Creates the table of the entry @p self. */
     explicit member_table(fleet_member self);
 
--- a/libs/fleet/src/membertable.cpp
+++ b/libs/fleet/src/membertable.cpp
@@ -53,7 +53,9 @@
     if (member.name != m_self.name) {
         return false;
     }
-    if (member.startUnixMs > m_self.startUnixMs) {
+    // A start far in the future is that of a damaged message; each entry would raise it further.
+    const bool isPlausible = member.startUnixMs <= m_self.startUnixMs + maxClockSetback.count();
+    if (member.startUnixMs > m_self.startUnixMs && isPlausible) {
         // An earlier incarnation has a later start time, because the clock was set back; peers would treat this one
         // as the earlier.
         m_self.startUnixMs = member.startUnixMs + 1;
--- a/libs/fleet/tests/membertabletest.cpp
+++ b/libs/fleet/tests/membertabletest.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <limits>
+
 using namespace cardamomdeck;
 
 namespace {
@@ -156,6 +159,19 @@
     cr_assert_gt(restartedTable.self().startUnixMs, 5000);
 }
 
+// Guards against a damaged message that raises the entry's own start, in the end up to an overflow.
+Test(clock_set_back_between_restarts, implausible_start_of_the_own_name_is_ignored)
+{
+    member_table table(makeMember("e2", 3000));
+    for (const std::int64_t start : {std::numeric_limits<std::int64_t>::max(), std::int64_t{4'000'000'000'000}}) {
+        table.recordHeartbeat(makeMember("e2", start), startTime);
+        table.recordGossip(makeMember("e2", start), startTime, startTime);
+        table.recordDiscovered(makeMember("e2", start), startTime);
+        cr_assert_eq(table.self().startUnixMs, 3000);
+    }
+    cr_assert(table.peers().empty());
+}
+
 Test(clock_set_back_between_restarts, heartbeats_of_an_older_incarnation_change_nothing)
 {
     member_table peer(makeMember("e1"));
