fleet: reject ages of peers that are out of range

Cause: ages were decoded as any 64-bit number and subtracted from the present time; a negative one lies in the future, a huge one overflows.

Change: ages lie between 0 and ten years, or the message is rejected. The rest of a warm-up is bound in the same way.

--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -45,6 +45,19 @@
                         position.backendsEndOffset});
 }
 
+/** Maximum of the durations in messages; larger ones could overflow when they are applied to a point in time. */
+constexpr milliseconds maxDuration{10LL * 365 * 24 * 3600 * 1000};
+
+/** Decodes an age in milliseconds; throws if it is out of range. */
+milliseconds ageFromJson(const json &field)
+{
+    const milliseconds age(field.get<std::int64_t>());
+    if (age < milliseconds(0) || age > maxDuration) {
+        throw std::invalid_argument("age is out of range");
+    }
+    return age;
+}
+
 view_position positionFromJson(const json &fields)
 {
     return {fields.at(0).get<std::uint64_t>(),
@@ -92,7 +105,8 @@
     server.draining = fields.at(6).get<bool>();
     server.startUnixMs = fields.at(7).get<std::int64_t>();
     server.sequence = fields.at(8).get<std::uint64_t>();
-    server.warmupEndsAt = now + milliseconds(fields.at(9).get<std::int64_t>());
+    server.warmupEndsAt
+        = now + std::clamp(milliseconds(fields.at(9).get<std::int64_t>()), milliseconds(0), maxDuration);
     record.server = std::move(server);
     return record;
 }
@@ -235,12 +249,11 @@
         heartbeat.sender = memberFromJson(fields.at(0));
         heartbeat.position = positionFromJson(fields.at(1));
         if (!fields.at(2).is_null()) {
-            heartbeat.viewAge = milliseconds(fields.at(2).get<std::int64_t>());
+            heartbeat.viewAge = ageFromJson(fields.at(2));
         }
         heartbeat.liveMembers = fields.at(3).get<std::size_t>();
         for (const json &gossiped : fields.at(4)) {
-            heartbeat.gossipedMembers.push_back(
-                {memberFromJson(gossiped.at(0)), milliseconds(gossiped.at(1).get<std::int64_t>())});
+            heartbeat.gossipedMembers.push_back({memberFromJson(gossiped.at(0)), ageFromJson(gossiped.at(1))});
         }
         if (const json &changes = fields.at(5); !changes.empty()) {
             heartbeat.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -198,6 +198,23 @@
     cr_assert_not(decodeRequest("\x92\x07\x90", startTime));
 }
 
+// Guards against a damaged age that makes a view count as current, or a member as alive, for good.
+Test(peer_message_encoding, ages_out_of_range_are_rejected)
+{
+    fleet_state reader(makeMember("e1"));
+    reader.applyStoreRead(makeStoreRead(startTime, 3, {}), startTime);
+    for (const milliseconds age :
+         {milliseconds(-1), milliseconds::min(), milliseconds::max(), milliseconds(1LL << 40)}) {
+        heartbeat_message heartbeat = reader.basicHeartbeat(startTime);
+        heartbeat.viewAge = age;
+        cr_assert_not(decodeHeartbeat(encode(heartbeat, startTime), startTime));
+        heartbeat.viewAge = milliseconds(1);
+        cr_assert(decodeHeartbeat(encode(heartbeat, startTime), startTime));
+        heartbeat.gossipedMembers = {{makeMember("e2"), age}};
+        cr_assert_not(decodeHeartbeat(encode(heartbeat, startTime), startTime));
+    }
+}
+
 TestSuite(listing_after_dropped_history);
 
 namespace {
