fleet: check the nesting of messages between entries

One message of nested arrays on the internal port ended an entry.

Cause: nlohmann's MessagePack decoder is recursive, and a compressed message of a megabyte of array markers exhausts the stack. The messages of the other mode were checked already.

Change: that check moves to libs/base, and larger messages of the gateway mode go through it. Messages up to 4 KiB can't exhaust the stack.

Result: deeply_nested_messages_are_rejected crashed before, passes now. fleet_test 102 of 102, membership_test 16 of 16.

--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -1,6 +1,7 @@
 #include "cardamomdeck/fleet/fleetmessage.h"
 
 #include "cardamomdeck/base/compression.h"
+#include "cardamomdeck/base/messagenesting.h"
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
@@ -191,10 +192,19 @@
     return bytes;
 }
 
+/** Maximum nesting depth of a valid message. */
+constexpr int maxNestingDepth = 8;
+
+/** Messages up to this size cannot exhaust the stack of the decoder, which uses some hundred bytes for each level. */
+constexpr std::size_t maxUncheckedBytes = 4096;
+
 /** Runs @p decode and returns exceptions as the error frame_malformed. */
 template<typename decoder>
 auto unpack(std::string_view message, decoder decode) -> leaf::result<decltype(decode(json()))>
 {
+    if (message.size() > maxUncheckedBytes && !isNestedAtMost(message, maxNestingDepth)) {
+        return leaf::new_error(failure{result_code::frame_malformed, "invalid or nested too deeply"});
+    }
     try {
         return decode(json::from_msgpack(message));
     } catch (const std::exception &error) {
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -1,5 +1,7 @@
 #include "fleetfixture.h"
 
+#include "cardamomdeck/base/compression.h"
+
 using namespace cardamomdeck;
 
 TestSuite(view_propagation);
@@ -215,6 +217,17 @@
     }
 }
 
+// Guards against a nested message that overflows the stack of the decoder.
+Test(peer_message_encoding, deeply_nested_messages_are_rejected)
+{
+    for (const char nesting : {'\x91', '\x81'}) {
+        const std::string nested(1'000'000, nesting);
+        cr_assert_not(decodeHeartbeat(nested, startTime));
+        cr_assert_not(decodeRequest(compress(nested), startTime));
+        cr_assert_not(decodeViewResponse(compress(nested), startTime));
+    }
+}
+
 TestSuite(listing_after_dropped_history);
 
 namespace {
--- a/libs/membership/src/peermessage.cpp
+++ b/libs/membership/src/peermessage.cpp
@@ -1,5 +1,7 @@
 #include "cardamomdeck/membership/peermessage.h"
 
+#include "cardamomdeck/base/messagenesting.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cardamomdeck {
@@ -11,74 +13,9 @@
 
 constexpr int messageVersion = 1;
 
-/** Maximum nesting depth of a valid message. Deeper input is rejected, because the decoder is recursive. */
+/** Maximum nesting depth of a valid message. */
 constexpr int maxNestingDepth = 3;
 
-/** Accepts arrays up to maxNestingDepth and rejects objects. */
-class nesting_depth_validator : public nlohmann::json_sax<json>
-{
-public:
-    bool null() override
-    {
-        return true;
-    }
-    bool boolean(bool /*value*/) override
-    {
-        return true;
-    }
-    bool number_integer(number_integer_t /*value*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool number_unsigned(number_unsigned_t /*value*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool number_float(number_float_t /*value*/,
-                      const string_t & /*text*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool string(string_t & /*value*/) override
-    {
-        return true;
-    }
-    bool binary(binary_t & /*value*/) override
-    {
-        return true;
-    }
-    bool start_object(std::size_t /*size*/) override // NOLINT(readability-identifier-naming)
-    {
-        return false;
-    }
-    bool key(string_t & /*value*/) override
-    {
-        return false;
-    }
-    bool end_object() override // NOLINT(readability-identifier-naming)
-    {
-        return false;
-    }
-    bool start_array(std::size_t /*size*/) override // NOLINT(readability-identifier-naming)
-    {
-        return ++m_depth <= maxNestingDepth;
-    }
-    bool end_array() override // NOLINT(readability-identifier-naming)
-    {
-        --m_depth;
-        return true;
-    }
-    bool parse_error(std::size_t /*position*/,
-                     const std::string & /*token*/,
-                     const json::exception & /*error*/) override // NOLINT(readability-identifier-naming)
-    {
-        return false;
-    }
-
-private:
-    int m_depth = 0;
-};
-
 }
 
 std::string encodePeerMessage(const peer_message &message)
@@ -113,8 +50,7 @@
 
 leaf::result<peer_message> decodePeerMessage(const std::string &bytes)
 {
-    nesting_depth_validator validator;
-    if (!json::sax_parse(bytes, &validator, json::input_format_t::msgpack)) {
+    if (!isNestedAtMost(bytes, maxNestingDepth)) {
         return leaf::new_error(failure{result_code::frame_malformed, "not a MessagePack array"});
     }
     try {
