gateway: remove the own record after a registration in progress

The record of an entry that had stopped could stay in the store, so that an entry that starts without seeds asked a host that is gone (seen by reading).

Cause: the removal was written at once, on another connection than a registration that the store had not answered, and the store ran it first.

--- a/daemon/gateway/memberregistry.cpp
+++ b/daemon/gateway/memberregistry.cpp
@@ -2,6 +2,7 @@
 
 #include "decodeorlog.h"
 
+#include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/platform/recordcodec.h"
@@ -16,6 +17,9 @@
 /** Delay before a failed registration is retried. */
 constexpr milliseconds registrationRetryDelay{1500};
 
+/** Interval at which a removal checks whether a registration in progress has ended. */
+constexpr milliseconds registrationPollPeriod{10};
+
 /** Time after which an entry that has no members from a peer reads them from the store. */
 constexpr milliseconds discoveryTimeout{1000};
 
@@ -41,13 +45,19 @@
 {
 }
 
+asio::awaitable<result_code> member_registry::writeSelf()
+{
+    const count_guard inProgress(m_registrationsInProgress);
+    m_possiblyRegistered = true;
+    const fleet_member self = m_state.members().self();
+    co_return co_await m_store.write(
+        store_topic::members, self.name, platform::encodeMember(self), steady::now() + platform::storeCallTimeout);
+}
+
 asio::awaitable<void> member_registry::registerSelf()
 {
     while (!m_state.members().self().shuttingDown) {
-        m_possiblyRegistered = true;
-        const std::string record = platform::encodeMember(m_state.members().self());
-        const result_code writeCode = co_await m_store.write(
-            store_topic::members, m_state.members().self().name, record, steady::now() + platform::storeCallTimeout);
+        const result_code writeCode = co_await writeSelf();
         if (writeCode == result_code::ok) {
             m_registered = true;
             log_line("announced").add("entry", m_state.members().self().name).info();
@@ -99,6 +109,10 @@
     if (!m_possiblyRegistered) {
         co_return;
     }
+    // The store could run the registration after the removal, and the record would stay.
+    while (m_registrationsInProgress > 0) {
+        co_await sleepUntil(steady::now() + registrationPollPeriod);
+    }
     const result_code writeCode = co_await m_store.write(
         store_topic::members, m_state.members().self().name, {}, steady::now() + platform::storeCallTimeout);
     log_line("withdrawn").add("code", infoOf(writeCode).name).info();
--- a/daemon/gateway/memberregistry.h
+++ b/daemon/gateway/memberregistry.h
@@ -35,6 +35,7 @@
 
 private:
     boost::asio::awaitable<void> registerSelf();
+    boost::asio::awaitable<result_code> writeSelf();
     boost::asio::awaitable<void> readMembers();
 
     platform::store_client &m_store;
@@ -44,6 +45,8 @@
     bool m_registered = false;
     /** True if a record may be in the store, including after a write whose response was lost. */
     bool m_possiblyRegistered = false;
+    /** Number of writes of the record without a response, 0 or 1. */
+    unsigned m_registrationsInProgress = 0;
 };
 
 }
--- a/tests/system/restart_test.py
+++ b/tests/system/restart_test.py
@@ -56,6 +56,21 @@
         fleet.entries[0].child.wait(timeout=6)
         self.assertNotIn("entry-0", fleet.store.keys("keyed.members"))
 
+    # Guards against a record of an entry that is gone: the store ran its registration after its deregistration.
+    def test_deregistration_follows_a_registration_in_progress(self):
+        fleet = PlatformFleet(self.enterContext(tempfile.TemporaryDirectory()), entries=0, seeds=())
+        self.addCleanup(fleet.end)
+        fleet.store.control(delay_ms=700)
+        entry = fleet.start_entry(0)
+        # The registration follows one second after the start.
+        time.sleep(1.4)
+        fleet.store.control(delay_ms=0)
+        entry.signal(signal.SIGTERM)
+        entry.child.wait(timeout=6)
+        time.sleep(1.0)
+        self.assertTrue(entry.lines("withdrawn"))
+        self.assertNotIn("entry-0", fleet.store.keys("keyed.members"))
+
 
 class Pauses(ThreeEntryTest):
     def test_resumed_entry_does_not_use_stale_view(self):
