gateway: callers wait for the first request after a pause

Cause: while the first request after a pause was running, the only server of a service was not counted as paused, so other callers got no_backend and a Retry-After of a second (found on the last reading of the code).

Change: the trial after a pause counts as its last part, with its own end.

--- a/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
@@ -50,7 +50,7 @@
     /** Time at which the server announced that it is leaving. */
     std::optional<time_point> leavingSince() const;
 
-    /** End of the pause that is in progress at @p now. */
+    /** End of the pause, or of the trial after it, that is in progress at @p now. */
     std::optional<time_point> pausedUntil(time_point now) const;
 
 private:
--- a/libs/dispatch/src/backendavailability.cpp
+++ b/libs/dispatch/src/backendavailability.cpp
@@ -52,10 +52,7 @@
 
 bool backend_availability::isAvailable(time_point now) const
 {
-    if (m_leavingSince || pausedUntil(now)) {
-        return false;
-    }
-    return !m_trialEndsAt || now >= *m_trialEndsAt;
+    return !m_leavingSince && !pausedUntil(now);
 }
 
 bool backend_availability::tryStartRequest(time_point now)
@@ -79,7 +76,8 @@
 
 std::optional<time_point> backend_availability::pausedUntil(time_point now) const
 {
-    return m_pauseEndsAt && now < *m_pauseEndsAt ? m_pauseEndsAt : std::nullopt;
+    const std::optional<time_point> &end = m_trialEndsAt ? m_trialEndsAt : m_pauseEndsAt;
+    return end && now < *end ? end : std::nullopt;
 }
 
 backend_availability_ptr backend_availability_table::find(const std::string &id, std::int64_t startUnixMs)
--- a/libs/dispatch/tests/backendavailabilitytest.cpp
+++ b/libs/dispatch/tests/backendavailabilitytest.cpp
@@ -97,6 +97,8 @@
     cr_assert(fixture.server.tryStartRequest(now));
     cr_assert_not(fixture.server.isAvailable(now));
     cr_assert_not(fixture.server.tryStartRequest(now));
+    // Callers of the other requests are told when to return.
+    cr_assert_eq(*fixture.server.pausedUntil(now), now + backend_availability::trialTimeout);
     fixture.server.recordResponse();
     for (int i = 0; i < 10; ++i) {
         cr_assert(fixture.server.tryStartRequest(now));
--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -204,5 +204,25 @@
         self.assertEqual(entry.lines("backend_paused"), [])
 
 
+class PausingOnlyServer(AnnouncementsTest):
+    SERVERS = 1
+
+    # Guards against "no backend" for the callers that wait for the first request after a pause.
+    def test_others_are_told_to_wait_for_the_first_request_after_a_pause(self):
+        entry, only = self.fleet.entries[0], self.backends[0]
+        only.control(mode="refuse", retry_after="0.5")
+        wait_until(lambda: entry.send("/lots/x").json["name"] == "backends_withheld", 3, "the server is paused")
+        only.control(mode="answer_late", retry_after="", late_ms=400)
+        time.sleep(0.7)
+        first = threading.Thread(target=entry.send, args=("/lots/x",))
+        first.start()
+        time.sleep(0.1)
+        answer = entry.send("/lots/x", attempt="other")
+        self.assertEqual((answer.status, answer.json["name"]), (503, "backends_withheld"))
+        self.assertLess(float(answer.headers["retry-after"]), 1.3)
+        first.join()
+        wait_until(lambda: entry.send("/lots/x").status == 200, 3, "the others follow")
+
+
 if __name__ == "__main__":
     unittest.main()
