soak: a regress needs a version that was shown before the request

Cause: the check went through the responses in the order in which their requests were sent. Traced: the entry was paused for 3.1 s and read what had waited in any order; it refused c3-103 with version 4, installed 6 within the same millisecond, and then served a request of version 6 that had been sent before c3-103.

Change: a version counts from the end of the first response that showed it; a request that was sent later must not be handled by an older one. No slack is allowed beyond that, and a paused process is not excused.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -281,21 +281,24 @@
 
     def check_versions(self):
         """Returns responses from a version older than the one in force, or older than one that the process has used."""
-        violations, newest_versions = [], {}
-        for result in sorted(self.results, key=lambda item: item.started_at):
-            if not result.path.startswith("/v"):
-                continue
-            version = int(result.path[2:].split("/")[0])
+        violations, shown_versions = [], collections.defaultdict(list)
+        results = [result for result in self.results if result.path.startswith("/v")]
+        for result in results:
             if result.status == 200:
-                newest_versions[result.process] = max(version, newest_versions.get(result.process, 0))
+                shown_versions[result.process].append((result.ended_at, int(result.path[2:].split("/")[0])))
+        for result in results:
             if result.status != 404:
                 continue
+            version = int(result.path[2:].split("/")[0])
             in_force_by = self.acknowledged_at[version] + IN_FORCE_SECONDS
             if result.started_at > in_force_by \
                     and self.was_stable(in_force_by - IN_FORCE_SECONDS - RECOVERY_SECONDS, result.ended_at):
                 violations.append(
                     f"{result.request_id} was handled by a version older than {version} at {result.entry}")
-            if version <= newest_versions.get(result.process, 0):
+            # Only a version that was shown before the request was sent; a process that was paused reads what has
+            # waited for it in any order.
+            if any(ended_at < result.started_at and version <= shown
+                   for ended_at, shown in shown_versions[result.process]):
                 violations.append(f"{result.request_id} was handled by an older version than before at {result.entry}")
         return violations
 
