--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -13,6 +13,16 @@
     return a.startUnixMs == b.startUnixMs && a.address == b.address;
 }
 
+/** Difference between the clocks of two VMs, and time in which a record reaches an entry. */
+constexpr milliseconds maxStartUncertainty{2000};
+
+/** Earliest time at which @p server may have started, by the clock of this entry. */
+time_point earliestStart(const backend_server &server)
+{
+    const milliseconds age(std::max<std::int64_t>(0, unixMilliseconds() - server.startUnixMs));
+    return steady::now() - age - maxStartUncertainty;
+}
+
 }
 
 withheld_backends withheldBackends(const service_state &service, time_point now)
@@ -63,10 +73,14 @@
             const auto existing = service->backends.find(id);
             const bool keepsState
                 = existing != service->backends.end() && isSameIncarnation(existing->second->server, server);
-            updated[id] = keepsState ? existing->second
-                                     : std::make_shared<backend_state>(
-                                         server, m_entryName, m_availability.find(id, server.startUnixMs));
-            updated[id]->server = server;
+            backend_state_ptr &state = updated[id];
+            if (keepsState) {
+                state = existing->second;
+            } else {
+                state = std::make_shared<backend_state>(
+                    server, m_entryName, m_availability.find(id, server.startUnixMs, earliestStart(server)));
+            }
+            state->server = server;
         }
         service->backends = std::move(updated);
     }
--- a/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
@@ -6,6 +6,7 @@
 
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/randomsource.h"
+#include "cardamomdeck/dispatch/requestpause.h"
 
 #include <cstdint>
 #include <map>
@@ -23,16 +24,19 @@
 class backend_availability
 {
 public:
-    /** Time after which the other requests follow even if the first one after a pause has no response yet. */
-    static constexpr milliseconds trialTimeout{1000};
+    /** Availability of a server that has announced nothing. */
+    backend_availability();
+
+    /**
+     * Availability of the next incarnation of the server. A pause goes on if it was asked for at @p earliestStart, when
+     * that incarnation may have been running, or later; also a response that arrives from now on may be its response.
+     */
+    backend_availability nextIncarnation(time_point earliestStart) const;
 
     /** Records that the server is leaving. Returns false if that is known. */
     bool recordLeaving(time_point now);
 
-    /**
-     * Records that the server wants no requests for @p duration from @p now on. The end of the pause is delayed by a
-     * random time, so that entries do not return at one moment. Returns false if the present pause lasts longer.
-     */
+    /** See request_pause::record(). */
     bool recordPause(time_point now, milliseconds duration, random_source &random);
 
     /** Records a response that is no rejection; it ends the trial after a pause. */
@@ -55,10 +59,8 @@
 
 private:
     std::optional<time_point> m_leavingSince;
-    /** End of the last pause; reset when the server has answered a request after it. */
-    std::optional<time_point> m_pauseEndsAt;
-    /** Set while the first request after a pause has no response; others follow at this time. */
-    std::optional<time_point> m_trialEndsAt;
+    /** Shared by the incarnations of the server, because its responses do not name the incarnation. */
+    std::shared_ptr<request_pause> m_pause;
 };
 
 using backend_availability_ptr = std::shared_ptr<backend_availability>;
@@ -73,8 +75,11 @@
     /** Time for which the state of a server that is no longer registered is kept. */
     static constexpr milliseconds retentionTime{3'600'000};
 
-    /** Returns the state of the incarnation of server @p id that started at @p startUnixMs; a later one starts anew. */
-    backend_availability_ptr find(const std::string &id, std::int64_t startUnixMs);
+    /**
+     * Returns the state of the incarnation of server @p id that started at @p startUnixMs, by the clock of the server,
+     * and at @p earliestStart at the earliest, by the clock of this entry.
+     */
+    backend_availability_ptr find(const std::string &id, std::int64_t startUnixMs, time_point earliestStart);
 
     /** Removes states that nobody else holds and that are too old or have no effect at @p now. */
     void removeUnused(time_point now);
--- a/libs/dispatch/src/backendavailability.cpp
+++ b/libs/dispatch/src/backendavailability.cpp
@@ -1,17 +1,20 @@
 #include "cardamomdeck/dispatch/backendavailability.h"
 
-#include <algorithm>
-#include <chrono>
 #include <iterator>
 
 namespace cardamomdeck {
 
-namespace {
-
-/** Maximum random delay of the end of a pause, as a share of the pause and in absolute terms. */
-constexpr double pauseSpreadShare = 0.2;
-constexpr milliseconds maxPauseSpread{500};
+backend_availability::backend_availability()
+    : m_pause(std::make_shared<request_pause>())
+{
+}
 
+backend_availability backend_availability::nextIncarnation(time_point earliestStart) const
+{
+    backend_availability next;
+    next.m_pause = m_pause;
+    next.m_pause->endIfRecordedBefore(earliestStart);
+    return next;
 }
 
 bool backend_availability::recordLeaving(time_point now)
@@ -25,29 +28,17 @@
 
 bool backend_availability::recordPause(time_point now, milliseconds duration, random_source &random)
 {
-    const double spreadMs = std::min(pauseSpreadShare * toMilliseconds(duration), toMilliseconds(maxPauseSpread));
-    const auto spread
-        = std::chrono::round<microseconds>(std::chrono::duration<double, std::milli>(spreadMs * randomUnit(random)));
-    const time_point end = now + duration + spread;
-    m_trialEndsAt.reset();
-    if (m_pauseEndsAt && end <= *m_pauseEndsAt) {
-        return false;
-    }
-    m_pauseEndsAt = end;
-    return true;
+    return m_pause->record(now, duration, random);
 }
 
 void backend_availability::recordResponse()
 {
-    if (m_trialEndsAt) {
-        m_pauseEndsAt.reset();
-        m_trialEndsAt.reset();
-    }
+    m_pause->recordResponse();
 }
 
 void backend_availability::recordFailure()
 {
-    m_trialEndsAt.reset();
+    m_pause->recordFailure();
 }
 
 bool backend_availability::isAvailable(time_point now) const
@@ -57,16 +48,7 @@
 
 bool backend_availability::tryStartRequest(time_point now)
 {
-    if (!isAvailable(now)) {
-        return false;
-    }
-    if (m_trialEndsAt) {
-        m_pauseEndsAt.reset();
-        m_trialEndsAt.reset();
-    } else if (m_pauseEndsAt) {
-        m_trialEndsAt = now + trialTimeout;
-    }
-    return true;
+    return !m_leavingSince && m_pause->tryStartRequest(now);
 }
 
 std::optional<time_point> backend_availability::leavingSince() const
@@ -76,15 +58,19 @@
 
 std::optional<time_point> backend_availability::pausedUntil(time_point now) const
 {
-    const std::optional<time_point> &end = m_trialEndsAt ? m_trialEndsAt : m_pauseEndsAt;
-    return end && now < *end ? end : std::nullopt;
+    return m_pause->endsAt(now);
 }
 
-backend_availability_ptr backend_availability_table::find(const std::string &id, std::int64_t startUnixMs)
+backend_availability_ptr
+backend_availability_table::find(const std::string &id, std::int64_t startUnixMs, time_point earliestStart)
 {
     incarnation &known = m_incarnations[id];
-    if (!known.state || startUnixMs > known.startUnixMs) {
+    if (!known.state) {
         known = {startUnixMs, std::make_shared<backend_availability>(), std::nullopt};
+    } else if (startUnixMs > known.startUnixMs) {
+        known = {startUnixMs,
+                 std::make_shared<backend_availability>(known.state->nextIncarnation(earliestStart)),
+                 std::nullopt};
     }
     return known.state;
 }
--- a/libs/dispatch/tests/backendavailabilitytest.cpp
+++ b/libs/dispatch/tests/backendavailabilitytest.cpp
@@ -98,7 +98,7 @@
     cr_assert_not(fixture.server.isAvailable(now));
     cr_assert_not(fixture.server.tryStartRequest(now));
     // Callers of the other requests are told when to return.
-    cr_assert_eq(*fixture.server.pausedUntil(now), now + backend_availability::trialTimeout);
+    cr_assert_eq(*fixture.server.pausedUntil(now), now + request_pause::trialTimeout);
     fixture.server.recordResponse();
     for (int i = 0; i < 10; ++i) {
         cr_assert(fixture.server.tryStartRequest(now));
@@ -134,8 +134,8 @@
     fixture.server.recordPause(start, pauseTime, fixture.random);
     const time_point now = start + maxEnd;
     cr_assert(fixture.server.tryStartRequest(now));
-    cr_assert(fixture.server.tryStartRequest(now + backend_availability::trialTimeout));
-    cr_assert(fixture.server.tryStartRequest(now + backend_availability::trialTimeout));
+    cr_assert(fixture.server.tryStartRequest(now + request_pause::trialTimeout));
+    cr_assert(fixture.server.tryStartRequest(now + request_pause::trialTimeout));
 }
 
 TestSuite(availability_of_incarnations);
@@ -143,32 +143,56 @@
 Test(availability_of_incarnations, leaving_holds_while_the_registration_expires_and_returns)
 {
     backend_availability_table table;
-    table.find("s", 10)->recordLeaving(start);
+    table.find("s", 10, start)->recordLeaving(start);
     table.removeUnused(start);
     table.removeUnused(start + backend_availability_table::retentionTime - milliseconds(1));
-    cr_assert_not(table.find("s", 10)->isAvailable(start));
+    cr_assert_not(table.find("s", 10, start)->isAvailable(start));
 }
 
 Test(availability_of_incarnations, later_incarnation_starts_anew_and_earlier_one_does_not)
 {
     backend_availability_table table;
     random_source random{7};
-    table.find("s", 10)->recordLeaving(start);
-    table.find("t", 10)->recordPause(start, pauseTime, random);
-    cr_assert(table.find("s", 11)->isAvailable(start));
-    cr_assert(table.find("t", 11)->isAvailable(start));
-    table.find("s", 11)->recordLeaving(start);
-    cr_assert_not(table.find("s", 10)->isAvailable(start));
+    const time_point later = start + milliseconds(1);
+    table.find("s", 10, start)->recordLeaving(start);
+    table.find("t", 10, start)->recordPause(start, pauseTime, random);
+    cr_assert(table.find("s", 11, later)->isAvailable(later));
+    cr_assert(table.find("t", 11, later)->isAvailable(later));
+    table.find("s", 11, later)->recordLeaving(later);
+    cr_assert_not(table.find("s", 10, later)->isAvailable(later));
+}
+
+// Guards against requests in a pause that a restarted server asked for before its new record was known.
+Test(availability_of_incarnations, pause_that_may_be_that_of_the_next_incarnation_goes_on)
+{
+    backend_availability_table table;
+    random_source random{7};
+    table.find("s", 10, start)->recordPause(start, pauseTime, random);
+    const backend_availability_ptr restarted = table.find("s", 11, start);
+    cr_assert_not(restarted->isAvailable(start + pauseTime - milliseconds(1)));
+    cr_assert_not(restarted->tryStartRequest(start + pauseTime - milliseconds(1)));
+    cr_assert(restarted->tryStartRequest(start + maxEnd));
+}
+
+// Guards against a pause that is recorded for the earlier incarnation only, as the request was sent to that one.
+Test(availability_of_incarnations, response_to_an_earlier_request_pauses_the_next_incarnation)
+{
+    backend_availability_table table;
+    random_source random{7};
+    const backend_availability_ptr earlier = table.find("s", 10, start);
+    const backend_availability_ptr restarted = table.find("s", 11, start);
+    earlier->recordPause(start, pauseTime, random);
+    cr_assert_not(restarted->isAvailable(start + pauseTime - milliseconds(1)));
 }
 
 Test(availability_of_incarnations, states_of_removed_servers_are_dropped)
 {
     backend_availability_table table;
     random_source random{7};
-    const backend_availability_ptr held = table.find("held", 10);
-    table.find("idle", 10);
-    table.find("paused", 10)->recordPause(start, pauseTime, random);
-    table.find("leaving", 10)->recordLeaving(start);
+    const backend_availability_ptr held = table.find("held", 10, start);
+    table.find("idle", 10, start);
+    table.find("paused", 10, start)->recordPause(start, pauseTime, random);
+    table.find("leaving", 10, start)->recordLeaving(start);
     table.removeUnused(start);
     cr_assert_eq(table.size(), 3);
     table.removeUnused(start + maxEnd);
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -181,6 +181,10 @@
     Removal("platform: paused servers are not chosen", "libs/dispatch/src/backendavailability.cpp",
             "return !m_leavingSince && !pausedUntil(now);", "return !m_leavingSince;",
             "announcements_test.py Pausing.test_few_requests_reach_a_server_in_its_pause_and_they_return_after_it"),
+    Removal("platform: a pause goes on for the next incarnation", "libs/dispatch/src/backendavailability.cpp",
+            "    next.m_pause = m_pause;\n", "",
+            "announcements_test.py Pausing"
+            ".test_pause_goes_on_when_the_record_of_the_restarted_server_comes_after_it"),
     Removal("platform: announcements are kept while the registration is gone", "libs/dispatch/src/backendavailability.cpp",
             "const bool hasEffect = known.state->leavingSince() || known.state->pausedUntil(now);",
             "const bool hasEffect = false;",
--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -168,6 +168,22 @@
                                    for entry in self.fleet.entries), 3, "the requests return")
         self.assertEqual(set(self.answers), {200})
 
+    # Guards against a pause that ends with the record of the incarnation that has asked for it (soak, seed 7006).
+    def test_pause_goes_on_when_the_record_of_the_restarted_server_comes_after_it(self):
+        self.start_load()
+        paused = self.backends[0]
+        paused.born, paused.sequence = int(time.time() * 1000), 0
+        paused.control(mode="refuse", retry_after="3")
+        self.wait_until_all_log("backend_paused", paused)
+        paused.control(mode="ok", retry_after="")
+        time.sleep(SENT_BEFORE_SECONDS)
+        paused.report()
+        self.assert_receives_nothing(paused, 1.5)
+        before = self.arrivals(paused)
+        wait_until(lambda: all(self.arrivals(paused)[entry.name] > before[entry.name] + 5
+                               for entry in self.fleet.entries), 4, "the requests return")
+        self.assertEqual(set(self.answers), {200})
+
     def test_caller_is_told_when_to_return_if_all_servers_are_paused(self):
         entry = self.fleet.entries[0]
         for backend in self.backends:
