--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -154,12 +154,15 @@
         co_return;
     }
     const time_point now = steady::now();
-    heartbeat_message heartbeat = m_state.heartbeatWithChanges(previousPosition, now);
-    if (const auto update = m_state.makeViewUpdate(previousPosition, now)) {
-        heartbeat.relayed = true;
-        m_updateRelay.broadcast(*update, relayGroups(m_state.members().alive(now), m_state.members().self()));
+    const auto announcement = m_state.announceChanges(previousPosition, now);
+    if (!announcement) {
+        co_return;
+    }
+    if (announcement->update) {
+        m_updateRelay.broadcast(*announcement->update,
+                                relayGroups(m_state.members().alive(now), m_state.members().self()));
     }
-    sendToAllPeers(heartbeat);
+    sendToAllPeers(announcement->heartbeat);
 }
 
 void control_plane::recordStoreAvailability(bool available, const char *part)
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -45,6 +45,15 @@
      */
     static constexpr milliseconds storeOutageThreshold{2200};
 
+    /**
+     * Time in which a relayed update reaches all entries of a large fleet. Until then the others do not relay what they
+     * read, because most of it is in that update, and copies of it would crowd the links of small VMs.
+     */
+    static constexpr milliseconds relayTime{600};
+
+    /** Maximum time by which a relayed update that is under way delays a read; it is longer than the stagger. */
+    static constexpr milliseconds maxReadDelay{250};
+
     /** Creates the state of the entry @p self. */
     explicit fleet_state(fleet_member self);
 
@@ -113,6 +122,21 @@
      */
     std::optional<view_update> makeViewUpdate(const view_position &before, time_point now);
 
+    /** Messages that pass changes on to the other entries. */
+    struct change_announcement
+    {
+        /** To be sent to all of them; also tells that the view is current. */
+        heartbeat_message heartbeat;
+        /** To be relayed, see makeViewUpdate(). */
+        std::optional<view_update> update;
+    };
+
+    /**
+     * Announces the changes that a store read has brought after @p before. Returns none while another entry relays an
+     * update; the changes are then part of the next announcement.
+     */
+    std::optional<change_announcement> announceChanges(const view_position &before, time_point now);
+
     /** Applies a relayed view update; returns true when the view changed. */
     bool applyViewUpdate(const view_update &update, std::optional<config_source> config, time_point now);
 
@@ -196,6 +220,10 @@
     /** End of the last pause of this process. */
     time_point m_resumedAt;
     std::optional<announced_view> m_announcedView;
+    /** End of the time in which the last update that another entry relays is under way. */
+    time_point m_relayEndsAt;
+    /** Position after which changes were read and not announced. */
+    std::optional<view_position> m_unannouncedAfter;
     time_point m_nextMemberRequestAt;
     bool m_membershipKnown = false;
 };
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -118,6 +118,9 @@
             result.viewChanged = m_backends.apply(record, now) || result.viewChanged;
         }
     }
+    if (message.relayed) {
+        m_relayEndsAt = now + relayTime;
+    }
     const bool hasUnknownChanges = !isUpToDateWith(message.position);
     const bool newConfig = message.position.configVersion > m_config->version;
     // A later initial listing usually contains no change, and the next reads of this entry or its peers pass its
@@ -292,6 +295,22 @@
     return update;
 }
 
+std::optional<fleet_state::change_announcement> fleet_state::announceChanges(const view_position &before,
+                                                                             time_point now)
+{
+    const view_position after = m_unannouncedAfter.value_or(before);
+    change_announcement announcement{heartbeatWithChanges(after, now), makeViewUpdate(after, now)};
+    if (announcement.update) {
+        announcement.heartbeat.relayed = true;
+        if (now < m_relayEndsAt && !announcement.update->changes.config) {
+            m_unannouncedAfter = after;
+            return std::nullopt;
+        }
+    }
+    m_unannouncedAfter.reset();
+    return announcement;
+}
+
 bool fleet_state::expire(time_point now)
 {
     m_members.expire(now);
@@ -303,6 +322,7 @@
     m_schedule.invalidate(now);
     m_resumedAt = now;
     m_announcedView.reset();
+    m_relayEndsAt = now;
 }
 
 bool fleet_state::isPossiblyStale(time_point now) const
@@ -318,7 +338,8 @@
 
 time_point fleet_state::nextRead(time_point now) const
 {
-    return m_schedule.nextRead(m_members.rank(now), m_members.countAlive(now));
+    const time_point dueAt = m_schedule.nextRead(m_members.rank(now), m_members.countAlive(now));
+    return std::max(dueAt, std::min(m_relayEndsAt, dueAt + maxReadDelay));
 }
 
 time_point fleet_state::freshAt() const
