gateway: only entries that cannot be reached are replaced in a relay

Cause, from the logs of such a start: the updates of two readers are confirmed late, because all entries with 0.1 of a core decode and send at the same time. A sender that had no confirmation after 200 ms sent the update and the hosts behind the receiver to the next host, though the slow receiver relayed them too. Each level of the tree repeated that, so the number of updates under way grew by itself: 6 without a confirmation in a quarter of a second at -7.3 s, 938 at -2.3 s, long after all entries knew all servers.

Change: a receiver is replaced only if the connection fails or is closed. For one that is slow or stopped the confirmation is awaited for 2 s and its absence logged; whoever lacks the update asks the reader after 0.25 to 0.4 s, as before. view_update_relay takes the function that sends, so it is tested without a network.

--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -65,7 +65,10 @@
     , m_random(std::random_device()())
     , m_state(makeLocalMember(settings))
     , m_transport(context, m_state)
-    , m_updateRelay(context, m_transport)
+    , m_updateRelay(context,
+                    [this](const std::string &host, const view_update &update) {
+                        return m_transport.sendViewUpdate(host, update);
+                    })
     , m_store(context.get_executor(), settings.storeAddress)
     , m_storeReader(m_store, m_state)
     , m_memberRegistry(
--- a/daemon/gateway/peertransport.cpp
+++ b/daemon/gateway/peertransport.cpp
@@ -3,6 +3,7 @@
 #include "decodeorlog.h"
 
 #include "cardamomdeck/base/countguard.h"
+#include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/framing.h"
 #include "cardamomdeck/http/tasks.h"
 
@@ -25,8 +26,11 @@
 /** Timeout of one view request with its response. */
 constexpr milliseconds viewRequestTimeout{500};
 
-/** Timeout of the confirmation of a view update; a live peer takes about 20 ms on a small VM. */
-constexpr milliseconds viewUpdateTimeout{200};
+/** Timeout of the connection for a view update; a live VM accepts it even if its entry is busy. */
+constexpr milliseconds relayConnectTimeout{200};
+
+/** Time for which the confirmation of a view update is awaited; a live peer takes about 20 ms on a small VM. */
+constexpr milliseconds viewUpdateTimeout{2000};
 
 /** Maximum size of a compressed message in bytes: a configuration of many rules and all backend servers. */
 constexpr std::size_t maxFrameBytes = 2U * 1024U * 1024U;
@@ -178,18 +182,24 @@
     co_await writeFrame(stream, *response, m_transferredBytes);
 }
 
-asio::awaitable<std::optional<std::string>>
-peer_transport::exchange(std::string host, std::string message, time_point deadline)
+asio::awaitable<bool> peer_transport::connect(beast::tcp_stream &stream, std::string host, time_point deadline)
 {
     beast::error_code addressError;
     const tcp::endpoint endpoint(asio::ip::make_address(host, addressError), m_port);
     if (addressError) {
-        co_return std::nullopt;
+        co_return false;
     }
-    beast::tcp_stream stream(m_context);
     stream.expires_at(deadline);
     const auto [error] = co_await stream.async_connect(endpoint, asTuple);
-    if (error || !co_await writeFrame(stream, message, m_transferredBytes)) {
+    co_return !error;
+}
+
+asio::awaitable<std::optional<std::string>>
+peer_transport::exchange(std::string host, std::string message, time_point deadline)
+{
+    beast::tcp_stream stream(m_context);
+    if (!co_await connect(stream, std::move(host), deadline)
+        || !co_await writeFrame(stream, message, m_transferredBytes)) {
         co_return std::nullopt;
     }
     co_return co_await readFrame(stream, maxFrameBytes, m_transferredBytes);
@@ -204,11 +214,23 @@
     co_return decodeOrLog("peer_message_rejected", "answer", [&] { return decodeViewResponse(*frame, steady::now()); });
 }
 
-asio::awaitable<bool> peer_transport::sendViewUpdate(std::string host, view_update update)
+asio::awaitable<update_delivery> peer_transport::sendViewUpdate(std::string host, view_update update)
 {
-    const time_point now = steady::now();
-    const auto confirmation = co_await exchange(std::move(host), encode(update, now), now + viewUpdateTimeout);
-    co_return confirmation.has_value();
+    beast::tcp_stream stream(m_context);
+    const std::string message = encode(update, steady::now());
+    if (!co_await connect(stream, host, steady::now() + relayConnectTimeout)) {
+        co_return update_delivery::unreachable;
+    }
+    const time_point deadline = steady::now() + viewUpdateTimeout;
+    stream.expires_at(deadline);
+    if (!co_await writeFrame(stream, message, m_transferredBytes)) {
+        co_return update_delivery::unreachable;
+    }
+    if (co_await readFrame(stream, maxFrameBytes, m_transferredBytes)) {
+        co_return update_delivery::confirmed;
+    }
+    log_line("news_not_confirmed").add("host", host).add("config", update.changes.position.configVersion).info();
+    co_return steady::now() >= deadline ? update_delivery::unconfirmed : update_delivery::unreachable;
 }
 
 }
--- a/daemon/gateway/peertransport.h
+++ b/daemon/gateway/peertransport.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "viewupdaterelay.h"
+
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/base/socketaddress.h"
 #include "cardamomdeck/fleet/viewresponsecache.h"
@@ -13,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -47,10 +50,11 @@
     /** Requests the view of the entry at @p host; returns nothing on failure or timeout. */
     boost::asio::awaitable<std::optional<view_response>> requestView(std::string host, view_request request);
 
-    /** Sends @p update to the entry at @p host; returns false if it does not confirm it in time. */
-    boost::asio::awaitable<bool> sendViewUpdate(std::string host, view_update update);
+    /** Sends @p update to the entry at @p host, and logs if it is not confirmed. */
+    boost::asio::awaitable<update_delivery> sendViewUpdate(std::string host, view_update update);
 
 private:
+    boost::asio::awaitable<bool> connect(boost::beast::tcp_stream &stream, std::string host, time_point deadline);
     boost::asio::awaitable<std::optional<std::string>>
     exchange(std::string host, std::string message, time_point deadline);
     boost::asio::awaitable<void> receiveLoop();
--- a/daemon/gateway/viewupdaterelay.cpp
+++ b/daemon/gateway/viewupdaterelay.cpp
@@ -1,15 +1,14 @@
 #include "viewupdaterelay.h"
 
-#include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/tasks.h"
 
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
 
-view_update_relay::view_update_relay(asio::io_context &context, peer_transport &transport)
+view_update_relay::view_update_relay(asio::io_context &context, update_sender send)
     : m_context(context)
-    , m_transport(transport)
+    , m_send(std::move(send))
 {
 }
 
@@ -24,14 +23,12 @@
 {
     for (auto receiver = group.begin(); receiver != group.end(); ++receiver) {
         update.relayHosts.assign(receiver + 1, group.end());
-        const bool confirmed = co_await m_transport.sendViewUpdate(*receiver, update);
-        if (confirmed) {
+        const update_delivery delivery = co_await m_send(*receiver, update);
+        // A busy entry relays the update too. Replacing it while all are busy multiplies the messages at each level of
+        // the tree.
+        if (delivery != update_delivery::unreachable) {
             co_return;
         }
-        log_line("news_not_confirmed")
-            .add("host", *receiver)
-            .add("config", update.changes.position.configVersion)
-            .info();
     }
 }
 
