gateway: probe a restarted server that may be leaving before its first request

A server starts again under its id and announces that it leaves; its record comes more than 2 s later.

Cause: responses do not name the incarnation of their server. The announcement counted for the incarnation that the entry knew, and the record of the new one started without it. Unlike a pause it has no end, so it must not be taken over: it may as well be that of the earlier incarnation.

Change: if the announcement was recorded when the new incarnation may have been running, or arrives with a response to an earlier request, the new one gets no request before a response to a probe without the announcement.

--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -76,11 +76,11 @@
     connection_ptr connection = m_pool.acquireIdle(backend->server.id, steady::now() - connection_pool::maxIdleTime);
     bool reused = connection != nullptr;
     for (;;) {
-        if (!connection && backend->availability->isAvailable(steady::now())) {
+        if (!connection && backend->availability->isProbeAllowed(steady::now())) {
             connection = co_await connect(backend, deadline);
         }
         // The server may have announced something since it was chosen.
-        result.withheld = !backend->availability->isAvailable(steady::now());
+        result.withheld = !backend->availability->isProbeAllowed(steady::now());
         if (connection && result.withheld) {
             m_announcements.releaseConnection(*backend, connection);
         }
@@ -111,6 +111,9 @@
         }
         if (response.backendId == backend->server.id) {
             m_announcements.record(*backend, response.announcement, "probe");
+            if (!response.announcement.leaving) {
+                backend->availability->recordProbe();
+            }
         }
         if (!response.healthy) {
             markAvoided(*backend, "unhealthy", response.backendId);
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -45,6 +45,9 @@
  */
 constexpr milliseconds idleCheckPeriod{1000};
 
+/** Time in which a server that has started again answers the probe before its first request. */
+constexpr milliseconds restartProbeTimeout{200};
+
 /** Share of the file descriptors for callers; the rest is for backend servers, peers, the store and files. */
 constexpr double callerDescriptorShare = 0.6;
 
@@ -131,6 +134,38 @@
         m_services.removeUnusedAnnouncements(steady::now());
         m_pool.dropAllStale(steady::now() - connection_pool::maxIdleTime);
         m_pool.dropUnusable();
+        probeRestartedBackends();
+    }
+}
+
+void data_plane::probeRestartedBackends()
+{
+    for (const auto &[name, service] : m_services.services()) {
+        std::vector<backend_state_ptr> backends;
+        for (const auto &[id, backend] : service->backends) {
+            if (backend->availability->needsProbe()) {
+                backends.push_back(backend);
+            }
+        }
+        if (backends.empty()) {
+            continue;
+        }
+        // Not subject to the rate limit, which the probes of requests use up under load: there are few of these.
+        startTask(m_forwardingContext.context, "restart_probe", [this, probedService = service, backends] {
+            return probeRestarted(probedService, backends);
+        });
+    }
+}
+
+asio::awaitable<void> data_plane::probeRestarted(service_state_ptr service, std::vector<backend_state_ptr> backends)
+{
+    const time_point deadline = steady::now() + restartProbeTimeout;
+    const std::vector<probe_result> results
+        = co_await m_prober.probe(std::move(service), std::move(backends), restartProbeTimeout, deadline);
+    for (const probe_result &result : results) {
+        if (result.connection) {
+            m_announcements.releaseConnection(*result.backend, result.connection);
+        }
     }
 }
 
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -85,6 +85,9 @@
                     double durationMs);
     /** Periodically closes idle connections to backend servers that are removed, stale or unusable. */
     boost::asio::awaitable<void> dropIdleConnections();
+    /** Probes servers that accept requests only after a probe; see backend_availability::needsProbe(). */
+    void probeRestartedBackends();
+    boost::asio::awaitable<void> probeRestarted(service_state_ptr service, std::vector<backend_state_ptr> backends);
     /** Waits, for a short time at most, until the view is no longer possibly stale after a pause of this process. */
     boost::asio::awaitable<void> awaitCurrentView();
     http_response makeAddressResponse(const caller_location &location);
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -30,7 +30,7 @@
     withheld_backends withheld;
     for (const auto &[id, backend] : service.backends) {
         const auto pausedUntil = backend->availability->pausedUntil(now);
-        if (backend->availability->leavingSince()) {
+        if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
             ++withheld.leaving;
         } else if (pausedUntil) {
             ++withheld.paused;
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -98,6 +98,7 @@
 /** Servers of a service that accept no requests of this entry because of their own announcements. */
 struct withheld_backends
 {
+    /** Including those that need a probe first, because it may be their announcement. */
     std::size_t leaving = 0;
     std::size_t paused = 0;
     /** Earliest end of a pause. */
--- a/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
@@ -28,10 +28,11 @@
     backend_availability();
 
     /**
-     * Availability of the next incarnation of the server. A pause goes on if it was asked for at @p earliestStart, when
-     * that incarnation may have been running, or later; also a response that arrives from now on may be its response.
+     * Availability of the next incarnation of the server, which may have been running since @p earliestStart. What was
+     * announced from that time on, or in responses that are still to come, may be its announcement: a pause goes on,
+     * and it accepts requests only after a probe response that does not announce that it is leaving.
      */
-    backend_availability nextIncarnation(time_point earliestStart) const;
+    std::shared_ptr<backend_availability> startNextIncarnation(time_point earliestStart);
 
     /** Records that the server is leaving. Returns false if that is known. */
     bool recordLeaving(time_point now);
@@ -45,9 +46,18 @@
     /** Records a request without a response; another one may be tried. */
     void recordFailure();
 
-    /** Returns true if a request or probe may be sent, or a connection opened. */
+    /** Records a probe response that does not announce that the server is leaving. */
+    void recordProbe();
+
+    /** Returns true if a request may be sent. */
     bool isAvailable(time_point now) const;
 
+    /** Returns true if a probe may be sent, or a connection opened. */
+    bool isProbeAllowed(time_point now) const;
+
+    /** Returns true if the server accepts no requests before recordProbe(). */
+    bool needsProbe() const;
+
     /** Must be called immediately before a request is sent; returns false if it must not be sent. */
     bool tryStartRequest(time_point now);
 
@@ -61,6 +71,8 @@
     std::optional<time_point> m_leavingSince;
     /** Shared by the incarnations of the server, because its responses do not name the incarnation. */
     std::shared_ptr<request_pause> m_pause;
+    std::weak_ptr<backend_availability> m_nextIncarnation;
+    bool m_needsProbe = false;
 };
 
 using backend_availability_ptr = std::shared_ptr<backend_availability>;
--- a/libs/dispatch/src/backendavailability.cpp
+++ b/libs/dispatch/src/backendavailability.cpp
@@ -9,11 +9,13 @@
 {
 }
 
-backend_availability backend_availability::nextIncarnation(time_point earliestStart) const
+backend_availability_ptr backend_availability::startNextIncarnation(time_point earliestStart)
 {
-    backend_availability next;
-    next.m_pause = m_pause;
-    next.m_pause->endIfRecordedBefore(earliestStart);
+    const auto next = std::make_shared<backend_availability>();
+    next->m_pause = m_pause;
+    next->m_pause->endIfRecordedBefore(earliestStart);
+    next->m_needsProbe = m_leavingSince && *m_leavingSince >= earliestStart;
+    m_nextIncarnation = next;
     return next;
 }
 
@@ -23,6 +25,9 @@
         return false;
     }
     m_leavingSince = now;
+    if (const backend_availability_ptr next = m_nextIncarnation.lock()) {
+        next->m_needsProbe = true;
+    }
     return true;
 }
 
@@ -41,14 +46,29 @@
     m_pause->recordFailure();
 }
 
+void backend_availability::recordProbe()
+{
+    m_needsProbe = false;
+}
+
 bool backend_availability::isAvailable(time_point now) const
+{
+    return !m_needsProbe && isProbeAllowed(now);
+}
+
+bool backend_availability::isProbeAllowed(time_point now) const
 {
     return !m_leavingSince && !pausedUntil(now);
 }
 
+bool backend_availability::needsProbe() const
+{
+    return m_needsProbe && !m_leavingSince;
+}
+
 bool backend_availability::tryStartRequest(time_point now)
 {
-    return !m_leavingSince && m_pause->tryStartRequest(now);
+    return isAvailable(now) && m_pause->tryStartRequest(now);
 }
 
 std::optional<time_point> backend_availability::leavingSince() const
@@ -68,9 +88,7 @@
     if (!known.state) {
         known = {startUnixMs, std::make_shared<backend_availability>(), std::nullopt};
     } else if (startUnixMs > known.startUnixMs) {
-        known = {startUnixMs,
-                 std::make_shared<backend_availability>(known.state->nextIncarnation(earliestStart)),
-                 std::nullopt};
+        known = {startUnixMs, known.state->startNextIncarnation(earliestStart), std::nullopt};
     }
     return known.state;
 }
--- a/libs/dispatch/tests/backendavailabilitytest.cpp
+++ b/libs/dispatch/tests/backendavailabilitytest.cpp
@@ -201,6 +201,33 @@
     cr_assert_eq(table.size(), 1);
 }
 
+// Guards against a request to a restarted server that announced that it is leaving before its new record was known.
+Test(availability_of_incarnations, leaving_that_may_be_that_of_the_next_incarnation_is_probed_for)
+{
+    backend_availability_table table;
+    table.find("s", 10, start)->recordLeaving(start);
+    const backend_availability_ptr restarted = table.find("s", 11, start);
+    cr_assert(restarted->needsProbe());
+    cr_assert_not(restarted->isAvailable(start));
+    cr_assert_not(restarted->tryStartRequest(start));
+    cr_assert(restarted->isProbeAllowed(start));
+    restarted->recordProbe();
+    cr_assert(restarted->tryStartRequest(start));
+}
+
+Test(availability_of_incarnations, response_to_an_earlier_request_is_probed_for)
+{
+    backend_availability_table table;
+    const backend_availability_ptr earlier = table.find("s", 10, start);
+    const backend_availability_ptr restarted = table.find("s", 11, start);
+    cr_assert(restarted->isAvailable(start));
+    earlier->recordLeaving(start);
+    cr_assert(restarted->needsProbe());
+    restarted->recordLeaving(start);
+    cr_assert_not(restarted->needsProbe());
+    cr_assert_not(restarted->isProbeAllowed(start));
+}
+
 TestSuite(announcements_in_any_order);
 
 // Whatever the order of announcements, responses and requests: nothing is sent after leaving or during a pause.
--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -15,6 +15,8 @@
 # Requests that may reach a server from one entry between that time and the end of a pause.
 MAX_REQUESTS_IN_PAUSE = 2
 PAUSE_SECONDS = 2.0
+# Time after which no request may reach a server that has announced that it leaves.
+DRAIN_SECONDS = 2.0
 
 
 class AnnouncementsTest(unittest.TestCase):
@@ -119,6 +121,18 @@
         wait_until(lambda: all(self.arrivals(leaving)[entry.name] > before[entry.name]
                                for entry in self.fleet.entries), 3, "all entries use the new incarnation")
 
+    # Guards against requests to a server that has announced it after a start under its id, before its record came.
+    def test_it_holds_when_the_record_of_the_restarted_server_comes_after_it(self):
+        self.start_load()
+        leaving = self.backends[0]
+        leaving.born, leaving.sequence = int(time.time() * 1000), 0
+        leaving.control(leaving=True)
+        self.wait_until_all_log("backend_leaving", leaving)
+        time.sleep(DRAIN_SECONDS)
+        leaving.report()
+        self.assert_receives_nothing(leaving, 2.5, probes=False)
+        self.assertEqual(set(self.answers), {200})
+
     def test_restarted_entry_learns_it_from_its_first_response(self):
         leaving = self.backends[0]
         leaving.control(leaving=True)
