gateway: announcements count from the header of a response

Cause: what a server announces was recorded with the complete response. A response whose body comes late, or breaks off, announced nothing, and requests went on to a server that had said that it leaves.

Change: an exchange reports the header of the response to its request before the body is read; the announcement is recorded then, with the same proof as before (the request's id, no 421). The end of the exchange only tells whether the server has answered.

--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -207,6 +207,9 @@
         rules.match = [id = m_request.id](const http_response &response) {
             return platform::matchRequest(response, id);
         };
+        rules.headerReceived = [this, backend](const http_response &response) {
+            recordAnnouncement(*backend, response);
+        };
         rules.acceptsCloseDelimited = true;
         rules.budget = &m_context.bodyMemory;
         const count_guard inFlightGuard(backend->inFlight);
@@ -286,17 +289,21 @@
     finish(result_code::ok);
 }
 
+void request_forwarder::recordAnnouncement(backend_state &backend, const http_response &response)
+{
+    const platform::response_kind kind = platform::classifyResponse(response, m_request.id);
+    if (kind != platform::response_kind::wrong_server && !m_request.id.empty()) {
+        m_context.announcements.record(backend, platform::decodeAnnouncement(response), m_request.id);
+    }
+}
+
 void request_forwarder::updateAvailability(backend_state &backend, const exchange_result &result)
 {
     if (result.code != result_code::ok) {
         backend.availability->recordFailure();
         return;
     }
-    const platform::response_kind kind = platform::classifyResponse(result.response, m_request.id);
-    if (kind != platform::response_kind::wrong_server && !m_request.id.empty()) {
-        m_context.announcements.record(backend, platform::decodeAnnouncement(result.response), m_request.id);
-    }
-    if (kind == platform::response_kind::valid) {
+    if (platform::classifyResponse(result.response, m_request.id) == platform::response_kind::valid) {
         backend.availability->recordResponse();
     } else {
         backend.availability->recordFailure();
--- a/daemon/gateway/requestforwarder.h
+++ b/daemon/gateway/requestforwarder.h
@@ -90,7 +90,9 @@
     boost::asio::awaitable<connection_ptr> openConnection(backend_state_ptr backend);
     void handleAttemptEnd(const backend_state_ptr &backend, exchange_result result, time_point startedAt);
     void handleResponse(const backend_state_ptr &backend, exchange_result result, time_point startedAt);
-    /** Records what @p backend announces with the result of an attempt, and whether it has answered. */
+    /** Records what @p backend announces in the header of a response, whether or not its body arrives. */
+    void recordAnnouncement(backend_state &backend, const http_response &response);
+    /** Records whether @p backend has answered an attempt. */
     void updateAvailability(backend_state &backend, const exchange_result &result);
     /** Sets the result of a request for which no server is left, if some accept no requests at present. */
     void considerWithheldBackends();
--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -43,6 +43,8 @@
 {
     /** Matches each final response with the request. Null accepts every response. */
     std::function<response_match(const http_response &)> match;
+    /** Called with the header of the response to the request, before its body is read, if not null. */
+    std::function<void(const http_response &)> headerReceived;
     /** Accepts responses that are delimited by the close of the connection; a reset never counts as the end. */
     bool acceptsCloseDelimited = false;
     /** Memory budget of the bodies; with null only the message limits apply. Must outlive the result. */
@@ -112,7 +114,8 @@
     boost::asio::awaitable<bool> send(const http_request &request, exchange_result &result);
     boost::asio::awaitable<result_code>
     receive(const http_request &request, message_limits limits, const response_rules &rules, exchange_result &result);
-    boost::asio::awaitable<result_code> readResponse(response_parser &parser, byte_budget::reservation &memory);
+    boost::asio::awaitable<result_code>
+    readResponse(response_parser &parser, const response_rules &rules, byte_budget::reservation &memory);
 
     std::shared_ptr<state> m_state;
 };
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -76,6 +76,11 @@
     return status >= 100 && status < 200;
 }
 
+response_match matchResponse(const response_rules &rules, const http_response &response)
+{
+    return rules.match ? rules.match(response) : response_match::this_request;
+}
+
 }
 
 struct http_connection::state
@@ -149,7 +154,8 @@
     co_return false;
 }
 
-asio::awaitable<result_code> http_connection::readResponse(response_parser &parser, byte_budget::reservation &memory)
+asio::awaitable<result_code>
+http_connection::readResponse(response_parser &parser, const response_rules &rules, byte_budget::reservation &memory)
 {
     const std::shared_ptr<state> state = m_state;
     const auto [headerError, headerSize]
@@ -160,6 +166,10 @@
     if (!hasSupportedTransferCoding(parser.get())) {
         co_return result_code::answer_malformed;
     }
+    if (rules.headerReceived && !isInterim(parser.get())
+        && matchResponse(rules, parser.get()) == response_match::this_request) {
+        rules.headerReceived(parser.get());
+    }
     parser.eager(true);
     while (!parser.is_done()) {
         if (!reserveBodyMemory(parser, memory)) {
@@ -190,7 +200,7 @@
         parser.header_limit(limits.maxHeaderBytes);
         parser.body_limit(limits.maxBodyBytes);
         parser.skip(request.method() == http::verb::head);
-        const result_code code = co_await readResponse(parser, memory);
+        const result_code code = co_await readResponse(parser, rules, memory);
         if (code != result_code::ok) {
             co_return code;
         }
@@ -202,7 +212,7 @@
             // The end of such a body cannot be distinguished from a truncation.
             co_return result_code::answer_malformed;
         }
-        const response_match match = rules.match ? rules.match(parser.get()) : response_match::this_request;
+        const response_match match = matchResponse(rules, parser.get());
         if (match == response_match::unidentified) {
             co_return result_code::answer_malformed;
         }
--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -9,6 +9,7 @@
 
 from fleet import ask, wait_until
 from platformfleet import PlatformFleet, route
+from rawbackend import RawBackend
 
 # Time in which requests that have already been sent may still reach a server.
 SENT_BEFORE_SECONDS = 0.5
@@ -121,6 +122,17 @@
         wait_until(lambda: all(self.arrivals(leaving)[entry.name] > before[entry.name]
                                for entry in self.fleet.entries), 3, "all entries use the new incarnation")
 
+    # Guards against requests to a server whose announcement counts only with a complete response.
+    def test_it_holds_from_the_header_of_a_response(self):
+        raw = RawBackend(self.store, "raw-1", mode="leaving_with_slow_body")
+        self.addCleanup(raw.end)
+        self.start_load()
+        self.wait_until_all_log("backend_leaving", raw)
+        time.sleep(0.2)
+        arrived = len(raw.requests)
+        time.sleep(1.5)
+        self.assertEqual(len(raw.requests), arrived)
+
     # Guards against requests to a server that has announced it after a start under its id, before its record came.
     def test_it_holds_when_the_record_of_the_restarted_server_comes_after_it(self):
         self.start_load()
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -97,6 +97,12 @@
         finally:
             self.flooded_connections -= 1
 
+    def leaving_with_slow_body(self, connection, request_id):
+        """Announces that it leaves, and sends the body so late that the request has no response in time."""
+        connection.sendall(self.head(request_id, "Server-Leaving: 1", "Content-Length: 5"))
+        time.sleep(3.0)
+        connection.sendall(b"late.")
+
     def large(self, connection, request_id):
         connection.sendall(self.answer(request_id, 2_000_000))
 
