gateway: log and show servers that are probed before their first request

A server that has started again under its id and may be leaving gets no request before it has answered a probe. That decision had no log line, and the fleet API showed such a server as ready.

--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -17,7 +17,7 @@
 
 std::string_view stateName(const backend_state &backend, time_point now)
 {
-    if (backend.availability->leavingSince()) {
+    if (backend.availability->leavingSince() || backend.availability->needsProbe()) {
         return "leaving";
     }
     if (backend.availability->pausedUntil(now)) {
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -144,6 +144,10 @@
         std::vector<backend_state_ptr> backends;
         for (const auto &[id, backend] : service->backends) {
             if (backend->availability->needsProbe()) {
+                log_line("backend_probed_first")
+                    .add("backend", id)
+                    .add("started_unix_ms", backend->server.startUnixMs)
+                    .info();
                 backends.push_back(backend);
             }
         }
