tests: a log line may come after the response that it is about

A thread of its own writes the lines, so that no request waits for standard output; under load it runs later.

Change: the test waits up to 3 s for the same line, with the same content, as the other tests of log lines do.

--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -165,7 +165,9 @@
         self.assertLess(time.monotonic() - started_at, 0.1)
         self.assertEqual((answer.status, answer.json["name"]), (503, "backends_withheld"))
         self.assertGreater(float(answer.headers["retry-after"]), 0)
-        self.assertTrue(entry.lines("request", id="rejected", backends_leaving=3, backends_paused=0))
+        # Lines are written by a thread of their own, which may run after the response.
+        wait_until(lambda: entry.lines("request", id="rejected", backends_leaving=3, backends_paused=0), 3,
+                   "the rejection is logged")
 
 
 class Pausing(AnnouncementsTest):
