dispatch: two gaps of the probe before a restarted server's first request

Change: a state that keeps requests from a server is kept, whatever the reason; the time of the last announcement counts.

--- a/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
@@ -69,6 +69,8 @@
 
 private:
     std::optional<time_point> m_leavingSince;
+    /** Time of the last announcement that the server is leaving. */
+    time_point m_lastLeavingAt;
     /** Shared by the incarnations of the server, because its responses do not name the incarnation. */
     std::shared_ptr<request_pause> m_pause;
     std::weak_ptr<backend_availability> m_nextIncarnation;
--- a/libs/dispatch/src/backendavailability.cpp
+++ b/libs/dispatch/src/backendavailability.cpp
@@ -14,21 +14,20 @@
     const auto next = std::make_shared<backend_availability>();
     next->m_pause = m_pause;
     next->m_pause->endIfRecordedBefore(earliestStart);
-    next->m_needsProbe = m_leavingSince && *m_leavingSince >= earliestStart;
+    next->m_needsProbe = m_leavingSince && m_lastLeavingAt >= earliestStart;
     m_nextIncarnation = next;
     return next;
 }
 
 bool backend_availability::recordLeaving(time_point now)
 {
-    if (m_leavingSince) {
-        return false;
-    }
-    m_leavingSince = now;
+    const bool isKnown = m_leavingSince.has_value();
+    m_leavingSince = m_leavingSince.value_or(now);
+    m_lastLeavingAt = now;
     if (const backend_availability_ptr next = m_nextIncarnation.lock()) {
         next->m_needsProbe = true;
     }
-    return true;
+    return !isKnown;
 }
 
 bool backend_availability::recordPause(time_point now, milliseconds duration, random_source &random)
@@ -105,7 +104,7 @@
         if (!known.removeAt) {
             known.removeAt = now + retentionTime;
         }
-        const bool hasEffect = known.state->leavingSince() || known.state->pausedUntil(now);
+        const bool hasEffect = !known.state->isAvailable(now);
         const bool isUnused = !hasEffect || now >= *known.removeAt;
         position = isUnused ? m_incarnations.erase(position) : std::next(position);
     }
--- a/libs/dispatch/tests/backendavailabilitytest.cpp
+++ b/libs/dispatch/tests/backendavailabilitytest.cpp
@@ -269,3 +269,119 @@
         }
     }
 }
+
+namespace {
+
+/** A server that restarts under its id, and an entry that learns of it later. */
+struct restarting_server
+{
+    std::mt19937 steps;
+    random_source random{7};
+    time_point now = start;
+    backend_availability_table table;
+    /** The present incarnation of the server, and the one that the entry knows. */
+    std::int64_t incarnation = 1;
+    std::int64_t known = 1;
+    time_point startedAt = start;
+    backend_availability_ptr state = table.find("s", known, start);
+    bool leaving = false;
+    time_point pausedUntil = start;
+
+    explicit restarting_server(unsigned seed)
+        : steps(seed)
+    {
+    }
+
+    milliseconds randomTime(unsigned maxMs)
+    {
+        return milliseconds(steps() % maxMs);
+    }
+
+    void restart()
+    {
+        ++incarnation;
+        startedAt = now;
+        leaving = false;
+        pausedUntil = now;
+    }
+
+    void receiveRecord()
+    {
+        known = incarnation;
+        state = table.find("s", known, startedAt - randomTime(2000));
+    }
+
+    void loseAndRestoreRecord()
+    {
+        state.reset();
+        table.removeUnused(now);
+        state = table.find("s", known, startedAt - randomTime(2000));
+    }
+
+    void announcePause()
+    {
+        const milliseconds duration = randomTime(1000);
+        state->recordPause(now, duration, random);
+        pausedUntil = std::max(pausedUntil, now + duration);
+    }
+
+    void announceLeaving()
+    {
+        state->recordLeaving(now);
+        leaving = true;
+    }
+
+    void probe()
+    {
+        if (state->needsProbe() && state->isProbeAllowed(now)) {
+            leaving ? static_cast<void>(state->recordLeaving(now)) : state->recordProbe();
+        }
+    }
+};
+
+}
+
+// Whatever the order of starts, records, removals, announcements and responses: nothing is sent to an incarnation that
+// has announced to this entry that it is leaving, or in a pause that it has asked for.
+Test(announcements_in_any_order, nothing_is_sent_against_the_announcement_of_a_restarted_server)
+{
+    for (unsigned seed = 0; seed < 2000; ++seed) {
+        restarting_server server(seed);
+        for (int step = 0; step < 200; ++step) {
+            server.now += server.randomTime(100);
+            switch (server.steps() % 24) {
+            case 0:
+                server.restart();
+                break;
+            case 1:
+            case 2:
+                server.receiveRecord();
+                break;
+            case 3:
+                server.loseAndRestoreRecord();
+                break;
+            case 4:
+                server.announcePause();
+                break;
+            case 5:
+                server.announceLeaving();
+                break;
+            case 6:
+                server.state->recordResponse();
+                break;
+            case 7:
+                server.state->recordFailure();
+                break;
+            case 8:
+            case 9:
+                server.probe();
+                break;
+            default:
+                if (server.state->tryStartRequest(server.now)) {
+                    cr_assert_not(server.leaving, "seed %u, step %d", seed, step);
+                    cr_assert_geq(server.now, server.pausedUntil, "seed %u, step %d", seed, step);
+                }
+            }
+        }
+    }
+}
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -188,7 +188,7 @@
             "if (delivery != update_delivery::unreachable) {", "if (delivery == update_delivery::confirmed) {",
             "gateway_test"),
     Removal("platform: a restarted server that may be leaving is probed first", "libs/dispatch/src/backendavailability.cpp",
-            "    next->m_needsProbe = m_leavingSince && *m_leavingSince >= earliestStart;\n", "",
+            "    next->m_needsProbe = m_leavingSince && m_lastLeavingAt >= earliestStart;\n", "",
             "announcements_test.py Leaving"
             ".test_it_holds_when_the_record_of_the_restarted_server_comes_after_it"),
     Removal("platform: a pause goes on for the next incarnation", "libs/dispatch/src/backendavailability.cpp",
@@ -196,7 +196,7 @@
             "announcements_test.py Pausing"
             ".test_pause_goes_on_when_the_record_of_the_restarted_server_comes_after_it"),
     Removal("platform: announcements are kept while the registration is gone", "libs/dispatch/src/backendavailability.cpp",
-            "const bool hasEffect = known.state->leavingSince() || known.state->pausedUntil(now);",
+            "const bool hasEffect = !known.state->isAvailable(now);",
             "const bool hasEffect = false;",
             "announcements_test.py Leaving"
             ".test_it_holds_while_the_store_is_away_and_while_the_registration_expires_and_returns"),
