gateway: log updates whose receiver cannot be reached

Cause: since only a receiver that had been reached and did not confirm an update left a line; a failed connection was passed over without one.

Change: both are logged as news_not_confirmed, told apart by `reached`. Result: gateway_test and lint pass; there is no test for the line.

--- a/daemon/gateway/peertransport.cpp
+++ b/daemon/gateway/peertransport.cpp
@@ -218,19 +218,23 @@
 {
     beast::tcp_stream stream(m_context);
     const std::string message = encode(update, steady::now());
-    if (!co_await connect(stream, host, steady::now() + relayConnectTimeout)) {
-        co_return update_delivery::unreachable;
-    }
-    const time_point deadline = steady::now() + viewUpdateTimeout;
-    stream.expires_at(deadline);
-    if (!co_await writeFrame(stream, message, m_transferredBytes)) {
-        co_return update_delivery::unreachable;
-    }
-    if (co_await readFrame(stream, maxFrameBytes, m_transferredBytes)) {
-        co_return update_delivery::confirmed;
+    update_delivery delivery = update_delivery::unreachable;
+    if (co_await connect(stream, host, steady::now() + relayConnectTimeout)) {
+        const time_point deadline = steady::now() + viewUpdateTimeout;
+        stream.expires_at(deadline);
+        if (co_await writeFrame(stream, message, m_transferredBytes)) {
+            if (co_await readFrame(stream, maxFrameBytes, m_transferredBytes)) {
+                co_return update_delivery::confirmed;
+            }
+            delivery = steady::now() >= deadline ? update_delivery::unconfirmed : update_delivery::unreachable;
+        }
     }
-    log_line("news_not_confirmed").add("host", host).add("config", update.changes.position.configVersion).info();
-    co_return steady::now() >= deadline ? update_delivery::unconfirmed : update_delivery::unreachable;
+    log_line("news_not_confirmed")
+        .add("host", host)
+        .add("config", update.changes.position.configVersion)
+        .add("reached", delivery == update_delivery::unconfirmed ? "true" : "false")
+        .info();
+    co_return delivery;
 }
 
 }
