dispatch: a leaving server is probed for after several starts in a row

Cause: whether a restarted server needs a probe was decided from the incarnation before it.

Change: the time of the last announcement is passed on from incarnation to incarnation.

Result: dispatch_test 49 of 49; leaving_is_probed_for_after_several_starts fails without the line.

--- a/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendavailability.h
@@ -69,8 +69,8 @@
 
 private:
     std::optional<time_point> m_leavingSince;
-    /** Time of the last announcement that the server is leaving. */
-    time_point m_lastLeavingAt;
+    /** Time of the last announcement of this incarnation, or one before it, that the server is leaving. */
+    time_point m_lastLeavingAt = time_point::min();
     /** Shared by the incarnations of the server, because its responses do not name the incarnation. */
     std::shared_ptr<request_pause> m_pause;
     std::weak_ptr<backend_availability> m_nextIncarnation;
--- a/libs/dispatch/src/backendavailability.cpp
+++ b/libs/dispatch/src/backendavailability.cpp
@@ -14,7 +14,8 @@
     const auto next = std::make_shared<backend_availability>();
     next->m_pause = m_pause;
     next->m_pause->endIfRecordedBefore(earliestStart);
-    next->m_needsProbe = m_leavingSince && m_lastLeavingAt >= earliestStart;
+    next->m_lastLeavingAt = m_lastLeavingAt;
+    next->m_needsProbe = m_lastLeavingAt >= earliestStart;
     m_nextIncarnation = next;
     return next;
 }
--- a/libs/dispatch/tests/backendavailabilitytest.cpp
+++ b/libs/dispatch/tests/backendavailabilitytest.cpp
@@ -228,6 +228,16 @@
     cr_assert_not(restarted->isProbeAllowed(start));
 }
 
+// Guards against a probe that is left out because another start lies between the announcement and the last record.
+Test(availability_of_incarnations, leaving_is_probed_for_after_several_starts)
+{
+    backend_availability_table table;
+    table.find("s", 10, start)->recordLeaving(start);
+    table.find("s", 11, start)->recordProbe();
+    cr_assert(table.find("s", 12, start)->needsProbe());
+    cr_assert_not(table.find("s", 13, start + milliseconds(1))->needsProbe());
+}
+
 TestSuite(announcements_in_any_order);
 
 // Whatever the order of announcements, responses and requests: nothing is sent after leaving or during a pause.
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -188,7 +188,7 @@
             "if (delivery != update_delivery::unreachable) {", "if (delivery == update_delivery::confirmed) {",
             "gateway_test"),
     Removal("platform: a restarted server that may be leaving is probed first", "libs/dispatch/src/backendavailability.cpp",
-            "    next->m_needsProbe = m_leavingSince && m_lastLeavingAt >= earliestStart;\n", "",
+            "    next->m_needsProbe = m_lastLeavingAt >= earliestStart;\n", "",
             "announcements_test.py Leaving"
             ".test_it_holds_when_the_record_of_the_restarted_server_comes_after_it"),
     Removal("platform: a pause goes on for the next incarnation", "libs/dispatch/src/backendavailability.cpp",
