tests: a leaving server at an entry that is cut off

Tests had the store away; this one also stops all other entries, and asks that the one that is left sends nothing to the server for 3 s and serves its callers.

--- a/tests/system/announcements_test.py
+++ b/tests/system/announcements_test.py
@@ -109,6 +109,26 @@
         self.assert_receives_nothing(leaving, 2.5)
         self.assertEqual(set(self.answers), {200})
 
+    # Guards against an entry that forgets it when it hears neither the store nor another entry.
+    def test_it_holds_at_an_entry_that_is_cut_off(self):
+        self.start_load()
+        leaving = self.backends[0]
+        leaving.control(leaving=True)
+        self.wait_until_all_log("backend_leaving", leaving)
+        self.stop_load()
+        self.store.control(mode="down")
+        for other in self.fleet.entries[1:]:
+            other.signal(signal.SIGSTOP)
+            self.addCleanup(other.signal, signal.SIGCONT)
+        before = self.arrivals(leaving)
+        answers = collections.Counter()
+        until = time.monotonic() + 3.0
+        while time.monotonic() < until:
+            answers[self.fleet.entries[0].send("/lots/x", attempt="cut-off:1").status] += 1
+            time.sleep(0.005)
+        self.assertEqual(self.arrivals(leaving), before)
+        self.assertEqual(set(answers), {200})
+
     def test_next_incarnation_receives_requests_again(self):
         self.start_load()
         leaving = self.backends[0]
