http: reject responses whose status HTTP does not define

Callers got responses with the status 000, or 099 or 600, as answers, in both ways of running; a retry or a hedge ended with them, and a health check with such a status could announce that its server leaves.

Cause: Beast takes any three digits for a status. 000 is neither a success nor an error for what reads it afterwards, so it was passed on like a response of the server's own.

Change: http_connection, which reads all HTTP responses (requests, retries, hedges, probes, store, log service, VM list, cardamomctl), ends the exchange with answer_malformed unless the status is from 100 to 599. What may run once gets 502; other requests go to another server.

Held before: the store, the log service and the VM list ignored a status other than 200.

--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -70,6 +70,14 @@
     return result_code::connection_lost;
 }
 
+/** Returns whether HTTP defines the class of the status; the parser accepts any three digits. */
+bool hasValidStatus(const http_response &response)
+{
+    constexpr unsigned firstStatus = 100;
+    constexpr unsigned lastStatus = 599;
+    return response.result_int() >= firstStatus && response.result_int() <= lastStatus;
+}
+
 bool isInterim(const http_response &response)
 {
     const unsigned status = response.result_int();
@@ -163,7 +171,7 @@
     if (headerError) {
         co_return codeOfReadError(headerError);
     }
-    if (!hasSupportedTransferCoding(parser.get())) {
+    if (!hasValidStatus(parser.get()) || !hasSupportedTransferCoding(parser.get())) {
         co_return result_code::answer_malformed;
     }
     if (rules.headerReceived && !isInterim(parser.get())
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -192,6 +192,32 @@
     }
 }
 
+TestSuite(malformed_responses);
+
+Test(malformed_responses, status_outside_the_valid_range_is_rejected)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        for (const std::string fields : {"Content-Length: 4\r\n\r\nbody",
+                                         "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                         "\r\nbody"}) {
+            connection_fixture fixture({{"HTTP/1.1 " + status + " X\r\nid: 1\r\n" + fields}, "", false});
+            cr_assert_eq(fixture.exchange().code, result_code::answer_malformed, "%s", status.c_str());
+            cr_assert_not(fixture.connection.isIdle());
+        }
+    }
+}
+
+Test(malformed_responses, all_final_statuses_are_accepted)
+{
+    for (int status = 200; status < 600; ++status) {
+        const std::string text = std::to_string(status);
+        connection_fixture fixture({{"HTTP/1.1 " + text + " X\r\nid: 1\r\nContent-Length: 0\r\n\r\n"}, "", false});
+        const exchange_result result = fixture.exchange();
+        cr_assert_eq(result.code, result_code::ok, "%d", status);
+        cr_assert_eq(result.response.result_int(), status);
+    }
+}
+
 TestSuite(unbounded_responses);
 
 Test(unbounded_responses, exchange_fails_after_too_many_interim_responses)
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -20,6 +20,9 @@
         self.open_connections = 0
         self.flooded_connections = 0
         self.health_delay = 0.0
+        # Changes the bytes of valid responses: of those to requests in the mode "malformed", and of health checks.
+        self.malform = lambda reply: reply
+        self.malform_health = lambda reply: reply
         self.sequence, self.born = 0, int(time.time() * 1000)
         self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
         threading.Thread(target=self.accept_loop, daemon=True).start()
@@ -53,7 +56,8 @@
                     if path == "/health":
                         time.sleep(self.health_delay)
                         load = f"Server-Load: 0,0,2,100\r\nInstance-Id: {self.name}\r\n"
-                        connection.sendall(f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode())
+                        reply = f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode()
+                        connection.sendall(self.malform_health(reply))
                         continue
                     self.requests.append(request_id)
                     getattr(self, self.mode)(connection, request_id)
@@ -88,6 +92,14 @@
     def ok(self, connection, request_id):
         connection.sendall(self.answer(request_id))
 
+    def malformed(self, connection, request_id):
+        connection.sendall(self.malform(self.head(request_id, "Content-Length: 6") + b"broken"))
+
+    def slow_on_request(self, connection, request_id):
+        """Takes 0.6 s for requests whose id begins with "slow"."""
+        time.sleep(0.6 if request_id.startswith("slow") else 0)
+        connection.sendall(self.answer(request_id))
+
     def endless_after(self, connection, request_id):
         connection.sendall(self.answer(request_id))
         time.sleep(0.05)
