http: a reset during an upload does not complete a response

An instance that answered a long upload at once with a response without a length, sent part of the body and reset the connection: the caller got that part as a complete 200. With the resource API, where only an empty body may be without a length, it got an empty 200, and cardamomctl ended with an uncaught exception.

Cause: a request of more than 16 KiB is written in the background while the response is read. A reset is one pending error of the socket, and the first call takes it. If that is the write, whose error was dropped, the read sees a regular end, which completes a response without a length.

Change: the connection remembers that the write failed; a response that ends with the connection is then answer_cut. A response with a length or in chunks is complete as before, and so is one that ends regularly while the request is still being written. A connection whose request was not sent completely is not reused.

Why it works: the write that takes the error has returned before the read that sees the end, and both complete in this order on one thread.

Evidence: without the change http_test fails in responses_during_the_request::reset_does_not_end_a_close_delimited_response ("ok after half"), malformed_responses_test.py in the 4 tests with uploads: 'HTTP/1.1 200 OK', b'half' on the platform, no response within 10 s with the resource API, signal 6 of cardamomctl. With it all pass, the new suite of http_test 100 times in a row. Held before: a reset after a short request, and truncated responses with a length or in chunks.

--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -93,6 +93,13 @@
 
 struct http_connection::state
 {
+    /** Progress of a request; a large one is sent in the background while its response is read. */
+    enum class send_progress {
+        pending,
+        complete,
+        failed,
+    };
+
     explicit state(const asio::any_io_executor &executor)
         : stream(executor)
     {
@@ -103,8 +110,7 @@
     time_point lastAliveAt;
     bool open = false;
     bool busy = false;
-    /** A large request is still being sent in the background. */
-    bool writing = false;
+    send_progress sending = send_progress::complete;
 };
 
 http_connection::http_connection(const asio::any_io_executor &executor)
@@ -146,10 +152,10 @@
     result.mayHaveSentBytes = true;
     if (request.body().size() > directWriteBytes) {
         // The peer may respond before it has read the complete request.
-        state->writing = true;
+        state->sending = state::send_progress::pending;
         startTask(state->stream.get_executor(), "long_request", [state, copy = request]() -> asio::awaitable<void> {
-            co_await http::async_write(state->stream, copy, asTuple);
-            state->writing = false;
+            const auto [error, written] = co_await http::async_write(state->stream, copy, asTuple);
+            state->sending = error ? state::send_progress::failed : state::send_progress::complete;
         });
         co_return true;
     }
@@ -220,6 +226,10 @@
             // The end of such a body cannot be distinguished from a truncation.
             co_return result_code::answer_malformed;
         }
+        if (closeDelimited && state->sending == state::send_progress::failed) {
+            // A reset that fails the write of the request is not reported again by the read, which sees a regular end.
+            co_return result_code::answer_cut;
+        }
         const response_match match = matchResponse(rules, parser.get());
         if (match == response_match::unidentified) {
             co_return result_code::answer_malformed;
@@ -230,7 +240,8 @@
             }
             continue;
         }
-        const bool reusable = parser.keep_alive() && !closeDelimited && !state->writing;
+        const bool reusable
+            = parser.keep_alive() && !closeDelimited && state->sending == state::send_progress::complete;
         result.response = parser.release();
         result.memory = std::move(memory);
         state->lastAliveAt = steady::now();
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -30,6 +30,10 @@
     std::string endless;
     bool reset = false;
     std::size_t sentBytes = 0;
+    /** Delay of the reset after the last response. */
+    milliseconds resetDelay{0};
+    /** After the last response, ends its own direction only and discards all further input. */
+    bool discardsInput = false;
 };
 
 asio::awaitable<void> runServer(tcp::acceptor &acceptor, server_script &script)
@@ -52,7 +56,20 @@
             co_return;
         }
     }
+    if (script.discardsInput) {
+        socket.shutdown(tcp::socket::shutdown_send);
+        std::string discarded(65536, '\0');
+        for (;;) {
+            const auto [error, size] = co_await socket.async_read_some(asio::buffer(discarded), asTuple);
+            if (error) {
+                co_return;
+            }
+        }
+    }
     if (script.reset) {
+        if (script.resetDelay.count() > 0) {
+            co_await sleepUntil(steady::now() + script.resetDelay);
+        }
         socket.set_option(asio::socket_base::linger(true, 0));
         // The destructor would close the socket without a reset.
         socket.close();
@@ -75,7 +92,7 @@
         startTask(context, "server", [this] { return runServer(acceptor, server); });
     }
 
-    exchange_result exchange(byte_budget *budget = nullptr)
+    exchange_result exchange(byte_budget *budget = nullptr, const std::string &body = "")
     {
         std::optional<exchange_result> result;
         const std::string id = std::to_string(++requests);
@@ -87,6 +104,11 @@
             }
             http_request request(boost::beast::http::verb::get, "/", 11);
             request.set("id", id);
+            if (!body.empty()) {
+                request.method(boost::beast::http::verb::post);
+                request.body() = body;
+                request.prepare_payload();
+            }
             response_rules rules;
             rules.match = [id](const http_response &response) {
                 if (response["id"].empty()) {
@@ -192,6 +214,52 @@
     }
 }
 
+TestSuite(responses_during_the_request);
+
+namespace {
+
+/** A body that neither fits into the socket buffers nor is read by the server. */
+const std::string longBody(32U * 1024U * 1024U, 'x');
+
+}
+
+// Guards against a reset that the failed write of the request consumes, so that the read sees a regular end.
+Test(responses_during_the_request, reset_does_not_end_a_close_delimited_response)
+{
+    const std::string header = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n";
+    for (const milliseconds delay : {milliseconds(0), milliseconds(20)}) {
+        for (const std::string body : {"half", ""}) {
+            server_script script{{header + body}, "", true};
+            script.resetDelay = delay;
+            connection_fixture fixture(std::move(script));
+            const result_code code = fixture.exchange(nullptr, longBody).code;
+            cr_assert(code == result_code::answer_cut || code == result_code::connection_lost,
+                      "%s after \"%s\"",
+                      std::string(infoOf(code).name).c_str(),
+                      body.c_str());
+            cr_assert_not(fixture.connection.isIdle());
+        }
+    }
+}
+
+Test(responses_during_the_request, regular_end_of_a_close_delimited_response_is_accepted)
+{
+    server_script script{{"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole"}, "", false};
+    script.discardsInput = true;
+    connection_fixture fixture(std::move(script));
+    cr_assert_eq(fixture.exchange(nullptr, longBody).response.body(), "whole");
+    cr_assert_not(fixture.connection.isIdle());
+}
+
+Test(responses_during_the_request, response_with_a_length_is_complete_despite_a_reset)
+{
+    server_script script{{makeResponseTo("1", "whole")}, "", true};
+    script.resetDelay = milliseconds(20);
+    connection_fixture fixture(std::move(script));
+    cr_assert_eq(fixture.exchange(nullptr, longBody).response.body(), "whole");
+    cr_assert_not(fixture.connection.isIdle());
+}
+
 TestSuite(malformed_responses);
 
 Test(malformed_responses, status_outside_the_valid_range_is_rejected)
--- a/tests/system/malformed_responses_test.py
+++ b/tests/system/malformed_responses_test.py
@@ -1,16 +1,20 @@
-"""Responses that are not valid HTTP are neither delivered nor trusted."""
+"""Responses that are not valid HTTP, or that break off during an upload, are neither delivered nor trusted."""
 
+import json
 import socket
 import subprocess
 import tempfile
 import time
 import unittest
+from pathlib import Path
 
 from fleet import BIN, Fleet, Relay, ask, http_reply, wait_until
 from fleet import RawBackend as ScriptedServer
 from platformfleet import HOST, PlatformFleet, route
 from rawbackend import RawBackend
 
+# More than the socket buffers hold, so that the upload is still being written when the server responds.
+UPLOAD = b"x" * 7_000_000
 EXIT_NO_RESPONSE = 5
 
 
@@ -52,6 +56,25 @@
                 return
 
 
+class EarlyServer(ScriptedServer):
+    """Responds to each upload before it has read the body, and resets the connection while the client still sends."""
+
+    def __init__(self, name, response):
+        self.response = response
+        super().__init__(name, lambda head: (http_reply(), False))
+
+    def _serve(self, connection):
+        head = connection.recv(4096)
+        if not head.startswith((b"POST", b"PUT")):
+            connection.sendall(http_reply())
+            connection.close()
+            return
+        connection.sendall(self.response)
+        time.sleep(0.05)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        connection.close()
+
+
 class OnThePlatform(unittest.TestCase):
     def setUp(self):
         self.directory = self.enterContext(tempfile.TemporaryDirectory())
@@ -67,7 +90,7 @@
         # A server of another service shows that the entry serves without a request to those under test.
         RawBackend(self.store, "desk-1", service="desk")
         self.store.put_config(5, {"lots": route("/lots/"), "weigh": route("/weigh/", kind="unsafe"),
-                                  "desk": route("/desk/", "desk")})
+                                  "desk": route("/desk/", "desk")}, max_body_bytes=8_000_000)
         self.fleet.wait_until_serving("/desk/x")
 
     def send(self, path, method="GET", attempt="a1", body=b""):
@@ -137,6 +160,20 @@
                 self.assertEqual(self.send("/lots/x", attempt=attempt), ("HTTP/1.1 200 OK", attempt.encode()), name)
         self.assertEqual(self.entry.lines("backend_leaving"), [])
 
+    def test_reset_during_an_upload_does_not_complete_a_response(self):
+        self.serve(early="reset_upload")
+        for number in range(10):
+            status_line, body = self.send("/weigh/x", "POST", f"u{number}", UPLOAD)
+            self.assertTrue(status_line.startswith("HTTP/1.1 502 "), (status_line, body))
+            self.assertEqual(self.servers["early"].requests.count(f"u{number}"), 1)
+
+    def test_upload_that_may_run_again_is_retried_after_a_reset(self):
+        self.serve(early="reset_upload", good="ok")
+        for number in range(10):
+            status_line, body = self.send("/lots/x", "POST", f"u{number}", UPLOAD)
+            self.assertEqual((status_line, body), ("HTTP/1.1 200 OK", f"u{number}".encode()))
+        self.assertTrue(self.servers["early"].requests)
+
     def test_malformed_response_of_the_store_is_not_trusted(self):
         relay = MalformingRelay(self.store.address)
         address, self.store.address = self.store.address, relay.address
@@ -165,7 +202,7 @@
     def serve(self, *servers, **spec):
         self.entry = self.fleet.start_entry("entry-1")
         self.fleet.define_service(self.entry, "lots", servers, **{
-            "timeout_ms": 2000, "retry_percent": 100, "hedge_percent": 0, **spec})
+            "timeout_ms": 2000, "retry_percent": 100, "hedge_percent": 0, "max_body_bytes": 8_000_000, **spec})
 
     def test_malformed_response_is_never_delivered(self):
         malform = None
@@ -235,6 +272,16 @@
         malform = MalformingRelay.malform
         wait_until(lambda: "lots-1" in self.entry.status()["leaving_backends"], 5, "a valid response is trusted")
 
+    def test_reset_during_an_upload_does_not_complete_a_response(self):
+        servers = [EarlyServer(f"early-{number}", b"HTTP/1.1 200 OK\r\n\r\n" + body)
+                   for number, body in enumerate((b"", b"half"))]
+        for server in servers:
+            self.addCleanup(server.stop)
+        self.serve(*servers, strategy="round_robin")
+        for _ in range(8):
+            answer = ask(self.entry.traffic, "POST", "/lots", UPLOAD)
+            self.assertEqual((answer.status, answer.outcome), (502, "unknown"), answer.body)
+
     def test_malformed_response_of_the_log_service_is_not_trusted(self):
         relay = MalformingRelay(self.fleet.log_addresses[0])
         self.fleet.log_addresses.append(relay.address)
@@ -276,6 +323,16 @@
             self.assertEqual(result.returncode, EXIT_NO_RESPONSE, (name, result))
             self.assertIn("not valid HTTP", result.stderr, name)
 
+    def test_reset_during_an_upload_counts_as_no_response(self):
+        api = EarlyServer("api", b"HTTP/1.1 200 OK\r\n\r\n")
+        self.addCleanup(api.stop)
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "resources.json"
+            path.write_text(json.dumps({"services": [{"name": "lots", "note": UPLOAD.decode()}]}))
+            for _ in range(5):
+                result = self.run_tool(api.address, "apply", path)
+                self.assertEqual(result.returncode, EXIT_NO_RESPONSE, result.stderr[-300:])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -52,7 +52,7 @@
         with connection:
             try:
                 while request := self.read(connection):
-                    path, request_id = request
+                    path, request_id, unread_bytes = request
                     if path == "/health":
                         time.sleep(self.health_delay)
                         load = f"Server-Load: 0,0,2,100\r\nInstance-Id: {self.name}\r\n"
@@ -60,22 +60,30 @@
                         connection.sendall(self.malform_health(reply))
                         continue
                     self.requests.append(request_id)
+                    if self.mode != "reset_upload":
+                        self.discard(connection, unread_bytes)
                     getattr(self, self.mode)(connection, request_id)
             except OSError:
                 pass  # The entry closed the connection.
         self.open_connections -= 1
 
     def read(self, connection):
-        """Returns path and id of the next request, without its body, or None at the end of the connection."""
+        """Returns path, id and unread body bytes of the next request, or None at the end of the connection."""
         head = b""
         while b"\r\n\r\n" not in head:
             data = connection.recv(4096)
             if not data:
                 return None
             head += data
+        head, _, body = head.partition(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         request_ids = [line.split(":", 1)[1].strip() for line in lines if line.lower().startswith("attempt-id:")]
-        return lines[0].split(" ")[1], request_ids[0] if request_ids else ""
+        lengths = [int(line.split(":", 1)[1]) for line in lines if line.lower().startswith("content-length:")]
+        return lines[0].split(" ")[1], request_ids[0] if request_ids else "", sum(lengths) - len(body)
+
+    def discard(self, connection, size):
+        while size > 0 and (data := connection.recv(min(size, 65536))):
+            size -= len(data)
 
     def head(self, request_id, *fields):
         return "\r\n".join(["HTTP/1.1 200 OK", f"Attempt-Id: {request_id}", f"Server-Seal: {self.name}", *fields,
@@ -100,6 +108,16 @@
         time.sleep(0.6 if request_id.startswith("slow") else 0)
         connection.sendall(self.answer(request_id))
 
+    def reset_upload(self, connection, request_id):
+        """Responds before it has read the body, and resets the connection while the caller still sends."""
+        connection.sendall(self.head(request_id) + b"half")
+        time.sleep(0.05)
+        self.reset(connection)
+
+    def reset(self, connection):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        connection.close()
+
     def endless_after(self, connection, request_id):
         connection.sendall(self.answer(request_id))
         time.sleep(0.05)
@@ -134,8 +152,7 @@
 
     def reset_unframed(self, connection, request_id):
         connection.sendall(self.head(request_id) + b"half")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-        connection.close()
+        self.reset(connection)
 
     def endless_chunks(self, connection, request_id):
         connection.sendall(self.head(request_id, "Transfer-Encoding: chunked"))
