http: reject responses with folded header lines

A response whose header held a field name with a leading blank or tab reached callers in both ways of running: the line became part of the field before it and was passed on, and a field that frames the body, such as Content-Length, was not recognized, so that the body ended at another place than the server meant. Probes, the store, the log service, the VM list and cardamomctl believed such responses.

Cause: a line that begins with a blank is a folded line of old HTTP, which Beast joins with the line before it, in headers and trailers. A folded line cannot be told from a name with a leading blank.

Change: response_parser, which http_connection reads all responses with, ends the exchange with answer_malformed (RFC 9112, 5.2, lets a gateway discard such a response). It recognizes a folded line by its value, which Beast does not take from the place behind the colon then. Requests of callers are read as before.

Held before: a blank at any other place of a name, and all control bytes including DEL at every place but a leading tab, which Beast rejects.

--- a/libs/http/include/cardamomdeck/http/httpconnection.h
+++ b/libs/http/include/cardamomdeck/http/httpconnection.h
@@ -12,7 +12,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
@@ -51,6 +50,8 @@
     byte_budget *budget = nullptr;
 };
 
+class response_parser;
+
 /** Result of an exchange. */
 struct exchange_result
 {
@@ -109,7 +110,6 @@
 
 private:
     struct state;
-    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<bool> send(const http_request &request, exchange_result &result);
     boost::asio::awaitable<result_code>
--- a/libs/http/src/httpconnection.cpp
+++ b/libs/http/src/httpconnection.cpp
@@ -3,6 +3,7 @@
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/tasks.h"
 #include "private/bodymemory.h"
+#include "private/responseparser.h"
 #include "private/transfercoding.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
--- a/libs/http/tests/exchangetest.cpp
+++ b/libs/http/tests/exchangetest.cpp
@@ -286,6 +286,68 @@
     }
 }
 
+// Guards against a line that is passed on, or against framing fields that are not recognized, so that the body ends at
+// another place than the server means.
+Test(malformed_responses, blanks_and_control_bytes_in_field_names_are_rejected)
+{
+    std::string invalidBytes = " \x7f";
+    for (char byte = '\0'; byte < ' '; ++byte) {
+        invalidBytes += byte;
+    }
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    const std::string idLine = "id: 1\r\n";
+    const std::string firstLines = idLine + "x-first: 1\r\n";
+    for (const char byte : invalidBytes) {
+        for (const std::string field : {"Content-Length: 4", "x-field: value"}) {
+            for (std::size_t position = 0; position <= field.find(':'); ++position) {
+                std::string line = field + "\r\n";
+                line.insert(position, 1, byte);
+                for (const std::string &header :
+                     {line + idLine, firstLines + line, firstLines + line + "x-last: 1\r\n"}) {
+                    connection_fixture fixture({{statusLine + header + "\r\nbody"}, "", false});
+                    cr_assert_eq(fixture.exchange().code,
+                                 result_code::answer_malformed,
+                                 "byte %d at %zu of %s",
+                                 byte,
+                                 position,
+                                 field.c_str());
+                    cr_assert_not(fixture.connection.isIdle());
+                }
+            }
+        }
+    }
+}
+
+// Guards against a name with a leading blank that counts as the continuation of the previous line.
+Test(malformed_responses, folded_lines_are_rejected)
+{
+    const std::string beginning = "HTTP/1.1 200 OK\r\nid: 1\r\n";
+    for (const std::string fields : {"x-first:\r\n second\r\n",
+                                     "x-first: 1\r\n \r\n",
+                                     "x-first:\r\n\t\r\n",
+                                     "x-first: 1\r\n\tContent-Length: 4\r\n",
+                                     "x-first: 1\r\n  \t second\r\n third\r\n"}) {
+        connection_fixture fixture({{beginning + fields + "\r\nbody"}, "", false});
+        cr_assert_eq(fixture.exchange().code, result_code::answer_malformed, "%s", fields.c_str());
+        connection_fixture withTrailer(
+            {{beginning + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + fields + "\r\n"}, "", false});
+        cr_assert_eq(withTrailer.exchange().code, result_code::answer_malformed, "trailer %s", fields.c_str());
+    }
+}
+
+Test(malformed_responses, blanks_around_values_and_empty_values_are_accepted)
+{
+    connection_fixture fixture(
+        {{"HTTP/1.1 200 OK\r\nid:1\r\nx-empty:\r\nx-blank: \t \r\nx-value:  a b\t \r\nContent-Length:\t4\r\n\r\nbody"},
+         "",
+         false});
+    const exchange_result result = fixture.exchange();
+    cr_assert_eq(result.response.body(), "body");
+    cr_assert_eq(result.response["x-empty"], "");
+    cr_assert_eq(result.response["x-blank"], "");
+    cr_assert_eq(result.response["x-value"], "a b");
+}
+
 TestSuite(unbounded_responses);
 
 Test(unbounded_responses, exchange_fails_after_too_many_interim_responses)
--- a/tests/system/malformed_responses_test.py
+++ b/tests/system/malformed_responses_test.py
@@ -23,18 +23,25 @@
 
 
 def with_line(line):
-    """Adds a line at the end of the header."""
-    return lambda reply: reply.replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\n", 1)
+    """Adds a valid line and then @p line at the end of the header."""
+    return lambda reply: reply.replace(b"\r\n\r\n", b"\r\nX-First: 1\r\n" + line + b"\r\n\r\n", 1)
 
 
 MALFORMED = {
     "status 000": with_status(b"000"),
     "status 099": with_status(b"099"),
     "status 600": with_status(b"600"),
+    "blank at the start of a name": with_line(b" X-Note: 1"),
+    "tab at the start of a name": with_line(b"\tX-Note: 1"),
+    "blank in a name": with_line(b"X Note: 1"),
+    "blank at the end of a name": with_line(b"X-Note : 1"),
+    "NUL in a name": with_line(b"X-\0Note: 1"),
+    "control byte in a name": with_line(b"X-\x01Note: 1"),
+    "DEL in a name": with_line(b"X-Note\x7f: 1"),
 }
 
 # One of each kind, for clients that read rarely.
-SAMPLES = {name: MALFORMED[name] for name in ("status 000",)}
+SAMPLES = {name: MALFORMED[name] for name in ("status 000", "blank at the start of a name", "NUL in a name")}
 
 
 class MalformingRelay(Relay):
