daemon: frame responses that a backend server sent without a length

With the resource API, callers of a backend server that answers in chunks got the body without any framing on a connection that stays open: they waited for its end, or took the next response for a part of the body. So did callers of an empty response without a length.

Cause: the transfer coding and Connection are removed from the response, and nothing took their place.

Change: the length is set, except where a response has no body.

Evidence: ResponseFraming in request_path_test.py timed out at the first chunked response; with the change its 2 tests pass. A response to HEAD kept its length before and does.

--- a/daemon/proxiedrequest.cpp
+++ b/daemon/proxiedrequest.cpp
@@ -27,6 +27,15 @@
 
 constexpr std::size_t spanIdDigits = 16;
 
+/** Sets the length of a body that the backend server sent in chunks, or that may be without a length. */
+void setBodyLength(http_response &response, http::verb method)
+{
+    const http::status status = response.result();
+    if (method != http::verb::head && status != http::status::no_content && status != http::status::not_modified) {
+        response.prepare_payload();
+    }
+}
+
 attempt_outcome classifyAttempt(const attempt_result &result)
 {
     if (result.refused) {
@@ -244,6 +253,7 @@
     switch (m_plan.attemptEnded(attempt.result, steady::now())) {
     case retry_decision::answer:
         removeHopByHopHeaders(attempt.response);
+        setBodyLength(attempt.response, m_request.method());
         m_response = std::move(attempt.response);
         finish(result_code::ok);
         return;
--- a/tests/system/request_path_test.py
+++ b/tests/system/request_path_test.py
@@ -1,9 +1,10 @@
 """End-to-end test of a request with separate processes."""
 
+import http.client
 import subprocess
 import unittest
 
-from fleet import BIN, Fleet, ask
+from fleet import BIN, Fleet, RawBackend, ask, http_reply
 
 
 class EndToEndRequest(unittest.TestCase):
@@ -28,5 +29,47 @@
             self.assertIn("in_force_everywhere: yes", tool_result.stdout)
 
 
+class ResponseFraming(unittest.TestCase):
+    """Responses that the server does not frame by a length reach callers on connections that stay open."""
+
+    RESPONSES = {
+        "chunked": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, b"body"),
+        "empty": (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", 200, b""),
+        "error": (b"HTTP/1.0 404 Not Found\r\n\r\n", 404, b""),
+        "no-content": (b"HTTP/1.1 204 No Content\r\n\r\n", 204, b""),
+    }
+
+    # Guards against a caller that waits for the end of the connection, or that takes the next response for the body.
+    def test_caller_sees_the_end_of_each_response(self):
+        with Fleet() as fleet:
+            fleet.start_log()
+            entry = fleet.start_entry("entry-1")
+            for name, (reply, status, body) in self.RESPONSES.items():
+                backend = RawBackend(f"raw-{name}", lambda head, reply=reply: (
+                    (http_reply(), False) if "/load" in head else (reply, b"chunked" not in reply)))
+                self.addCleanup(backend.stop)
+                fleet.define_service(entry, name, [backend], timeout_ms=2000)
+                host, port = entry.traffic.rsplit(":", 1)
+                connection = http.client.HTTPConnection(host, int(port), timeout=3)
+                self.addCleanup(connection.close)
+                for _ in range(3):
+                    connection.request("POST", f"/{name}", body=b"x")
+                    response = connection.getresponse()
+                    self.assertEqual((response.status, response.read()), (status, body), name)
+                    self.assertFalse(response.will_close, name)
+
+    def test_response_to_a_head_request_keeps_its_length(self):
+        with Fleet() as fleet:
+            fleet.start_log()
+            entry = fleet.start_entry("entry-1")
+            backend = RawBackend("raw-1", lambda head: (
+                b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", False))
+            self.addCleanup(backend.stop)
+            fleet.define_service(entry, "lots", [backend], timeout_ms=2000, probes_per_ten_seconds=0)
+            for _ in range(3):
+                answer = ask(entry.traffic, "HEAD", "/lots")
+                self.assertEqual((answer.status, answer.headers["content-length"], answer.body), (200, "4", b""))
+
+
 if __name__ == "__main__":
     unittest.main()
