daemon: bodies draw from a memory budget

With the resource API, a backend server that sent a body without an end took the entry's memory: each request kept up to max_body_bytes (64 MiB at most), and nothing bounded their sum. An entry that runs out of memory ends with all its requests. Uploads had no bound in sum either.

Cause: only the mode on the users' platform had a budget for bodies.

A response that does not fit ends as answer_too_large at once, a request as memory_short. The shares are now members of byte_budget.

--- a/daemon/entrysettings.cpp
+++ b/daemon/entrysettings.cpp
@@ -15,6 +15,7 @@
 ABSL_FLAG(std::string, vm_list, "", "IP:port of the platform's VM list. Empty: not used.");
 ABSL_FLAG(std::string, seeds, "", "Comma-separated peer addresses (IP:port) to contact at start.");
 ABSL_FLAG(std::int64_t, leave_time_ms, 6000, "Milliseconds from SIGTERM to closing the traffic port; at least 3000.");
+ABSL_FLAG(std::int64_t, memory_mb, 0, "Megabytes of memory for this entry, 32 to 1048576. 0: the memory of the VM.");
 ABSL_FLAG(std::int64_t, snapshot_every, 512, "Log records between snapshots, 1 to 1000000.");
 ABSL_FLAG(std::int64_t, trace_percent, 1, "Percentage of requests that are traced, 0 to 100. Failures always are.");
 ABSL_FLAG(std::string, trace_file, "", "File for spans as Zipkin v2 JSON lines. Empty: memory only.");
@@ -32,6 +33,8 @@
 
 constexpr std::int64_t minShutdownDelayMs = 3000;
 constexpr std::int64_t maxShutdownDelayMs = 600'000;
+constexpr std::int64_t minMemoryMb = 32;
+constexpr std::int64_t maxMemoryMb = 1'048'576;
 constexpr std::int64_t maxRecordsPerSnapshot = 1'000'000;
 constexpr std::int64_t maxPercent = 100;
 
@@ -90,6 +93,17 @@
     std::vector<std::string> &m_errors;
 };
 
+/** Memory in bytes that the flag memory_mb sets; without it that of the VM. */
+std::size_t memoryOf(settings_validator &validator, std::int64_t memoryMb)
+{
+    constexpr std::size_t bytesPerMegabyte = 1024U * 1024U;
+    if (const std::size_t physicalBytes = physicalMemoryBytes(); memoryMb == 0 && physicalBytes > 0) {
+        return physicalBytes;
+    }
+    return static_cast<std::size_t>(validator.number("memory_mb", memoryMb, minMemoryMb, maxMemoryMb))
+           * bytesPerMegabyte;
+}
+
 }
 
 parsed_settings readSettings(int argc, char **argv)
@@ -109,6 +123,7 @@
                                               "vm_list",
                                               "seeds",
                                               "leave_time_ms",
+                                              "memory_mb",
                                               "snapshot_every",
                                               "trace_percent",
                                               "trace_file",
@@ -142,6 +157,7 @@
     settings.seeds = validator.addresses("seeds", absl::GetFlag(FLAGS_seeds));
     settings.shutdownDelay = milliseconds(
         validator.number("leave_time_ms", absl::GetFlag(FLAGS_leave_time_ms), minShutdownDelayMs, maxShutdownDelayMs));
+    settings.memoryBytes = memoryOf(validator, absl::GetFlag(FLAGS_memory_mb));
     settings.recordsPerSnapshot = static_cast<std::uint64_t>(
         validator.number("snapshot_every", absl::GetFlag(FLAGS_snapshot_every), 1, maxRecordsPerSnapshot));
     settings.tracePercent = static_cast<std::uint32_t>(
--- a/daemon/entrysettings.h
+++ b/daemon/entrysettings.h
@@ -7,6 +7,7 @@
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/socketaddress.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     std::vector<socket_address> seeds;
     /** Time between the removal from address responses and the closing of the traffic port. */
     milliseconds shutdownDelay{6000};
+    /** Memory that this entry may use, of which a share holds the bodies of requests and responses. */
+    std::size_t memoryBytes = 0;
     /** Number of log records between two snapshots. */
     std::uint64_t recordsPerSnapshot = 512;
     /** Percentage of requests that are traced; failed requests are always traced. */
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -27,18 +27,6 @@
 /** Retry-After delay in responses while this entry cannot serve requests. */
 constexpr milliseconds unavailableRetryAfter{100};
 
-/**
- * Share of the VM's memory for the bodies of requests and responses. A body is held twice while it is forwarded, and
- * growing buffers take up to half as much again.
- */
-constexpr double bodyMemoryShare = 0.15;
-
-/**
- * Share of the body memory in use above which new requests are rejected, so that those in flight have room for their
- * responses. Large messages alone do not reach it, so small requests are still served.
- */
-constexpr double rejectionThreshold = 0.85;
-
 /**
  * Interval between checks of idle connections to backend servers. Until the next check, unsolicited data from a
  * backend server fills the socket's receive buffer.
@@ -86,7 +74,7 @@
                        stale_view_check isViewPossiblyStale)
     : m_settings(settings)
     , m_random(std::random_device()())
-    , m_bodyMemory(static_cast<std::size_t>(bodyMemoryShare * static_cast<double>(settings.resources.memoryBytes)))
+    , m_bodyMemory(byte_budget::limitFor(settings.resources.memoryBytes))
     , m_pool(context.get_executor())
     , m_announcements(m_pool, m_random)
     , m_prober(context, m_pool, m_announcements)
@@ -329,7 +317,7 @@
     if (!rule) {
         co_return rejectUnsentRequest(request, result_code::route_unknown);
     }
-    if (m_bodyMemory.isAbove(rejectionThreshold)) {
+    if (m_bodyMemory.isAbove(byte_budget::rejectionThreshold)) {
         co_return rejectUnsentRequest(request, result_code::memory_short);
     }
     const count_guard inFlightGuard(m_requestsInFlight);
--- a/daemon/proxiedrequest.cpp
+++ b/daemon/proxiedrequest.cpp
@@ -83,6 +83,7 @@
         co_await runAttempt(backend, reason);
         reason = "retry";
     }
+    callerExchange.holdUntilWritten(std::move(m_responseMemory));
     m_callerExchange = nullptr;
     m_timer.cancel();
     if (m_endCode == result_code::caller_gone) {
@@ -151,8 +152,10 @@
     message_limits limits;
     limits.maxBodyBytes = m_service->loadBalancer.service().maxBodyBytes;
     http_request request = makeBackendRequest(target, number, attemptSpanId);
-    exchange_result exchanged
-        = co_await connection->exchange(std::move(request), limits, attemptDeadline(number, steady::now()));
+    response_rules rules;
+    rules.budget = &m_proxy.m_bodyMemory;
+    exchange_result exchanged = co_await connection->exchange(
+        std::move(request), limits, attemptDeadline(number, steady::now()), std::move(rules));
     attempt.result.code = exchanged.code;
     attempt.result.mayHaveSentBytes = exchanged.mayHaveSentBytes;
     if (exchanged.code == result_code::deadline_passed) {
@@ -164,6 +167,7 @@
         attempt.result.refused = headers::valueOf(exchanged.response, headers::refused) == "before-start";
         attempt.result.retriedByBackend = !headers::valueOf(exchanged.response, headers::retried).empty();
         attempt.response = std::move(exchanged.response);
+        attempt.memory = std::move(exchanged.memory);
         m_proxy.m_pool.release(target.name, connection);
     }
     co_return attempt;
@@ -255,6 +259,7 @@
         removeHopByHopHeaders(attempt.response);
         setBodyLength(attempt.response, m_request.method());
         m_response = std::move(attempt.response);
+        m_responseMemory = std::move(attempt.memory);
         finish(result_code::ok);
         return;
     case retry_decision::give_up:
--- a/daemon/proxiedrequest.h
+++ b/daemon/proxiedrequest.h
@@ -20,6 +20,8 @@
 {
     attempt_result result;
     http_response response;
+    /** Memory reservation of the response body. */
+    byte_budget::reservation memory;
     std::string backend;
 };
 
@@ -79,6 +81,7 @@
     std::map<std::uint32_t, in_flight_attempt> m_inFlightAttempts;
     std::vector<backend_handle> m_triedBackends;
     std::optional<http_response> m_response;
+    byte_budget::reservation m_responseMemory;
     time_point m_lastAttemptStartedAt;
     time_point m_callerWatchAt;
     http_exchange *m_callerExchange = nullptr;
--- a/daemon/reverseproxy.cpp
+++ b/daemon/reverseproxy.cpp
@@ -46,9 +46,11 @@
 constexpr std::size_t traceIdDigits = 32;
 constexpr std::size_t spanIdDigits = 16;
 
-server_options serverOptions(reverse_proxy *proxy, http_response (reverse_proxy::*reject)(result_code) const)
+server_options
+serverOptions(reverse_proxy *proxy, byte_budget &memory, http_response (reverse_proxy::*reject)(result_code) const)
 {
     server_options options;
+    options.budget = &memory;
     options.limits.maxBodyBytes = 64ULL * 1024 * 1024;
     options.makeRejection = [proxy, reject](result_code code) {
         return (proxy->*reject)(code);
@@ -95,11 +97,12 @@
     , m_trafficChannel(channel)
     , m_traces(traces)
     , m_random(std::random_device()())
+    , m_bodyMemory(byte_budget::limitFor(settings.memoryBytes))
     , m_pool(traffic.get_executor())
     , m_server(
           traffic.get_executor(),
           [this](http_request &request, http_exchange &callerExchange) { return handle(request, callerExchange); },
-          serverOptions(this, &reverse_proxy::reject))
+          serverOptions(this, m_bodyMemory, &reverse_proxy::reject))
     , m_update(std::make_shared<traffic_update>())
 {
     auto initial = std::make_shared<traffic_update>();
@@ -160,6 +163,10 @@
     if (request.body().size() > service.maxBodyBytes) {
         co_return reject(result_code::body_too_large);
     }
+    if (m_bodyMemory.isAbove(byte_budget::rejectionThreshold)) {
+        runtime->metrics.requestEnded(result_code::memory_short, 0);
+        co_return reject(result_code::memory_short);
+    }
     if (runtime->inFlight >= service.maxInFlight) {
         runtime->metrics.requestEnded(result_code::overloaded, 0);
         co_return reject(result_code::overloaded);
@@ -374,7 +381,10 @@
     if (code == result_code::ok) {
         http_request request(http::verb::get, runtime->loadBalancer.service().probePath, httpVersion);
         request.set(http::field::host, toString(target.address));
-        const exchange_result exchanged = co_await connection->exchange(std::move(request), message_limits(), deadline);
+        response_rules rules;
+        rules.budget = &m_bodyMemory;
+        const exchange_result exchanged
+            = co_await connection->exchange(std::move(request), message_limits(), deadline, std::move(rules));
         const auto load = headers::numberOf(exchanged.response, headers::load);
         if (exchanged.code == result_code::ok && load && *load >= 0) {
             backend->recordLoadReport(static_cast<std::uint32_t>(std::min<std::int64_t>(*load, INT32_MAX)),
--- a/daemon/reverseproxy.h
+++ b/daemon/reverseproxy.h
@@ -95,6 +95,8 @@
     traffic_channel &m_trafficChannel;
     trace_sink &m_traces;
     random_source m_random;
+    /** Memory for the bodies of requests and responses. */
+    byte_budget m_bodyMemory;
     connection_pool m_pool;
     http_server m_server;
     std::shared_ptr<const traffic_update> m_update;
--- a/libs/base/include/cardamomdeck/base/bytebudget.h
+++ b/libs/base/include/cardamomdeck/base/bytebudget.h
@@ -19,6 +19,11 @@
     static constexpr std::size_t largeMessageBytes = 256U * 1024U;
     /** Default share of the budget, in use by all messages, up to which a large message may grow. */
     static constexpr double largeMessageShare = 0.75;
+    /**
+     * Share of the budget in use above which new requests are rejected, so that those in flight have room for their
+     * responses. Large messages alone do not reach it, so small requests are still served.
+     */
+    static constexpr double rejectionThreshold = 0.85;
 
     /** Reserved bytes, which are returned to the budget on destruction. */
     class reservation
@@ -46,6 +51,10 @@
 
     /** Creates a budget of @p limit bytes. */
     explicit byte_budget(std::size_t limit);
+
+    /** Limit in bytes of the budget of an entry on a VM with @p memoryBytes. */
+    static std::size_t limitFor(std::size_t memoryBytes);
+
     byte_budget(const byte_budget &) = delete;
     byte_budget &operator=(const byte_budget &) = delete;
 
--- a/libs/base/include/cardamomdeck/base/environment.h
+++ b/libs/base/include/cardamomdeck/base/environment.h
@@ -1,9 +1,10 @@
 /**
  * @file
- * Reads flag values from environment variables.
+ * Reads flag values from environment variables, and properties of the VM.
  */
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,9 @@
  */
 std::vector<std::string> applyEnvironment(const std::string &prefix, const std::vector<std::string> &flags);
 
+/** Physical memory of this VM in bytes; 0 if the system does not report it. */
+std::size_t physicalMemoryBytes();
+
 /** Makes --help list only the flags that are defined in source files whose path contains @p file. */
 void showFlagsOf(const std::string &file);
 
--- a/libs/base/src/bytebudget.cpp
+++ b/libs/base/src/bytebudget.cpp
@@ -61,6 +61,13 @@
 {
 }
 
+std::size_t byte_budget::limitFor(std::size_t memoryBytes)
+{
+    // A body is held twice while it is forwarded, and growing buffers take up to half as much again.
+    constexpr double memoryShare = 0.15;
+    return static_cast<std::size_t>(memoryShare * static_cast<double>(memoryBytes));
+}
+
 byte_budget::reservation byte_budget::makeReservation(double share)
 {
     return {*this, share};
--- a/libs/base/src/environment.cpp
+++ b/libs/base/src/environment.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
+#include <unistd.h>
+
 #include <cstdlib>
 
 namespace cardamomdeck {
@@ -28,6 +30,13 @@
     return errors;
 }
 
+std::size_t physicalMemoryBytes()
+{
+    const long pages = ::sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = ::sysconf(_SC_PAGESIZE);
+    return pages > 0 && pageBytes > 0 ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes) : 0;
+}
+
 void showFlagsOf(const std::string &file)
 {
     absl::FlagsUsageConfig config;
--- a/tests/system/exhaustion_test.py
+++ b/tests/system/exhaustion_test.py
@@ -1,15 +1,18 @@
 """Memory use and isolation of an entry with endless or invalid responses, stalled callers and idle connections."""
 
+import contextlib
+import socket
 import tempfile
 import threading
 import time
 import unittest
 
-from fleet import wait_until
+from fleet import Fleet, ask, http_reply, wait_until
+from fleet import RawBackend as ScriptedServer
 from platformfleet import HOST, PlatformFleet, route
-from rawbackend import RawBackend
+from rawbackend import CHUNK, RawBackend
 
-# Upper bound of the process's memory, as a fraction of the VM memory in the settings of the fleet (memory_mb).
+# Upper bound of the process's memory, as a fraction of the VM memory in its settings (memory_mb).
 MAX_MEMORY_FRACTION = 0.6
 TIMEOUT = 6.0
 
@@ -99,6 +102,93 @@
         self.assertEqual(set(results), {200})
 
 
+class EndlessServer(ScriptedServer):
+    """Responds to requests with a beginning and then with a part that is repeated until the client closes."""
+
+    def __init__(self, name, beginning, part):
+        self.beginning, self.part = beginning, part
+        super().__init__(name, lambda head: (http_reply(), False))
+
+    def _serve(self, connection):
+        with connection:
+            try:
+                head = connection.recv(65536)
+                if b"/load" in head:
+                    connection.sendall(http_reply())
+                    return
+                connection.sendall(self.beginning)
+                while True:
+                    connection.sendall(self.part)
+            except OSError:
+                pass  # The entry closed the connection.
+
+
+class EndlessResponsesWithTheResourceApi(unittest.TestCase):
+    MEMORY_MB = 160
+    REQUESTS = 24
+    HEAD = b"HTTP/1.1 200 OK\r\n"
+    CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    RESPONSES = {
+        "chunked body": (CHUNKED, CHUNK * 64),
+        "body without length": (HEAD + b"\r\n", b"x" * 65536),
+        "body of a huge length": (HEAD + b"Content-Length: 60000000\r\n\r\n", b"x" * 65536),
+        "size line of a chunk": (CHUNKED, bytes(65536)),
+        "trailer": (CHUNKED + CHUNK + b"0\r\nlast: ", b"x" * 65536),
+        "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
+        "header": (HEAD, b"a: " + b"x" * 1000 + b"\r\n"),
+        "invalid bytes": (b"", b"\x7f" * 65536),
+    }
+
+    # Guards against an entry that runs out of memory, and whose other requests end with it.
+    def test_endless_responses_use_bounded_memory_and_others_are_served(self):
+        fleet = self.enterContext(Fleet())
+        fleet.start_log()
+        entry = fleet.start_entry("entry-1", extra=[f"--memory_mb={self.MEMORY_MB}"])
+        fleet.define_service(entry, "desk", [fleet.start_backend("desk-1")])
+        for number, (name, (beginning, part)) in enumerate(self.RESPONSES.items()):
+            server = EndlessServer(f"endless-{number}", beginning, part)
+            self.addCleanup(server.stop)
+            fleet.define_service(entry, f"s{number}", [server], timeout_ms=int(TIMEOUT * 1000),
+                                 max_body_bytes=64 * 1024 * 1024, max_in_flight=self.REQUESTS)
+            statuses, seconds = [], []
+
+            def send(number=number, statuses=statuses, seconds=seconds):
+                started_at = time.monotonic()
+                statuses.append(ask(entry.traffic, "POST", f"/s{number}", b"x").status)
+                seconds.append(time.monotonic() - started_at)
+
+            callers = [threading.Thread(target=send) for _ in range(self.REQUESTS)]
+            for caller in callers:
+                caller.start()
+            self.assertEqual(ask(entry.traffic, "GET", "/desk").status, 200, name)
+            for caller in callers:
+                caller.join()
+            self.assertLess(entry.peak_memory_mb(), MAX_MEMORY_FRACTION * self.MEMORY_MB, name)
+            # Once the server has failed several times, it is ejected, and requests are rejected without being sent.
+            self.assertIn(502, statuses, name)
+            self.assertLessEqual(set(statuses), {502, 503}, name)
+            # The request fails because of the response's content, not at its deadline.
+            self.assertLess(max(seconds), TIMEOUT - 1, name)
+
+    def test_uploads_use_bounded_memory_and_others_are_served(self):
+        fleet = self.enterContext(Fleet())
+        fleet.start_log()
+        entry = fleet.start_entry("entry-1", extra=[f"--memory_mb={self.MEMORY_MB}"])
+        fleet.define_service(entry, "desk", [fleet.start_backend("desk-1")], max_body_bytes=64 * 1024 * 1024)
+        head = b"POST /desk HTTP/1.1\r\nHost: desk\r\nContent-Length: 50000000\r\n\r\n"
+        host, port = entry.traffic.rsplit(":", 1)
+        with contextlib.ExitStack() as callers:
+            for _ in range(self.REQUESTS):
+                caller = callers.enter_context(socket.create_connection((host, int(port)), timeout=0.5))
+                # Both the rejection and an upload that the entry does not read any more end the transmission.
+                with contextlib.suppress(OSError):
+                    caller.sendall(head + b"x" * 40_000_000)
+            self.assertLess(entry.peak_memory_mb(), MAX_MEMORY_FRACTION * self.MEMORY_MB)
+            self.assertEqual(ask(entry.traffic, "GET", "/desk").status, 200)
+        wait_until(lambda: ask(entry.traffic, "POST", "/desk", b"x" * 5_000_000).status == 200, 5,
+                   "the memory of the aborted uploads is available again")
+
+
 class StalledCallers(SingleEntryTest):
     def send_and_read(self, caller, message):
         """Returns the response sent before the message is complete, or empty bytes."""
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -97,6 +97,10 @@
     def log(self):
         return self.log_path.read_text(errors="replace")
 
+    def peak_memory_mb(self):
+        status = Path(f"/proc/{self.child.pid}/status").read_text()
+        return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
+
 
 class Backend(Process):
     """A backend server stand-in."""
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -123,10 +123,6 @@
         host, port = self.traffic.rsplit(":", 1)
         return socket.create_connection((host, int(port)), timeout=5)
 
-    def peak_memory_mb(self):
-        status = Path(f"/proc/{self.child.pid}/status").read_text()
-        return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
-
     def lines(self, event, **fields):
         parts = [f"event={event} "] + [f"{key}={value}" for key, value in fields.items()]
         return [line for line in self.log().splitlines() if all(part in line for part in parts)]
--- a/tests/system/settings_test.py
+++ b/tests/system/settings_test.py
@@ -18,9 +18,10 @@
 
 class DaemonSettings(unittest.TestCase):
     def test_all_invalid_settings_are_reported_together(self):
-        result = run("cardamomdeckd", "--traffic_address=nowhere", "--leave_time_ms=1", "--seeds=x")
+        result = run("cardamomdeckd", "--traffic_address=nowhere", "--leave_time_ms=1", "--seeds=x", "--memory_mb=31")
         self.assertEqual(result.returncode, 2)
-        for part in ("name is required", "zone is required", "traffic_address", "log_service", "leave_time_ms", "seeds"):
+        for part in ("name is required", "zone is required", "traffic_address", "log_service", "leave_time_ms", "seeds",
+                     "memory_mb must be from 32"):
             self.assertIn(part, result.stderr)
 
     def test_unknown_flag_and_invalid_variable_are_rejected(self):
