gateway: take no request that the end of a stop could cut

During a planned stop an entry took requests for half of its grace period and passed them on. What was still running at the end of the grace period was cut without a response, also requests that may run only once.

Cause: new requests were rejected by their arrival alone, whatever their timeout.

Change: from the SIGTERM on, a request whose deadline is later than the exit, less 0.1 s for responses, is rejected at once as overloaded (503, not run), so its caller uses another entry. Everything that is taken has its response, or 504 at its deadline, before the exit. The bound at half of the period stays.

--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -180,9 +180,10 @@
     log_line("config_installed").add("config", view->config->version).add("rules", view->config->rules.size()).info();
 }
 
-void data_plane::startShutdown()
+void data_plane::startShutdown(time_point lastDeadline)
 {
     m_shuttingDown = true;
+    m_lastDeadline = lastDeadline;
     m_trafficServer.closeAfterResponses();
 }
 
@@ -363,6 +364,10 @@
 data_plane::forward(http_request &request, http_exchange &exchange, traffic_rule_ptr rule, time_point arrivedAt)
 {
     const platform::caller_request caller = platform::decodeCallerRequest(request);
+    const time_point deadline = arrivedAt + std::min(rule->timeout, caller.timeout.value_or(rule->timeout));
+    if (deadline > m_lastDeadline) {
+        co_return rejectUnsentRequest(request, result_code::overloaded);
+    }
     const std::string service = selectService(*rule);
     const std::uint64_t version = m_view->config->version;
     forwarded_request forwarded;
@@ -380,7 +385,7 @@
     forwarded.mostUrgentPriority = m_rules.mostUrgentPriority(service);
     forwarded.liveMembers = m_view->liveMembers;
     forwarded.arrivedAt = arrivedAt;
-    forwarded.deadline = arrivedAt + std::min(rule->timeout, caller.timeout.value_or(rule->timeout));
+    forwarded.deadline = deadline;
     const auto forwarder = std::make_shared<request_forwarder>(m_forwardingContext, std::move(forwarded));
     forwarding_outcome outcome = co_await forwarder->run(exchange);
     logRequest(*forwarder, outcome, version, service, toMilliseconds(steady::now() - arrivedAt));
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -46,8 +46,11 @@
     /** Applies a new view of the fleet. */
     void applyView(const fleet_view_ptr &view);
 
-    /** Reports not ready from now on; connections close after their next response. */
-    void startShutdown();
+    /**
+     * Reports not ready from now on; connections close after their next response. New requests whose deadline is after
+     * @p lastDeadline are rejected, because the exit of the process could interrupt them.
+     */
+    void startShutdown(time_point lastDeadline);
 
     /** Rejects new requests from now on; those in flight are finished. */
     void rejectNewRequests();
@@ -116,6 +119,8 @@
     /** Traffic splits by rule name; a split whose services have changed is created again. */
     std::map<std::string, traffic_split> m_splits;
     std::size_t m_requestsInFlight = 0;
+    /** Latest deadline of a request that is accepted. */
+    time_point m_lastDeadline = time_point::max();
     bool m_shuttingDown = false;
     bool m_rejectingRequests = false;
 };
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -27,6 +27,9 @@
 /** Share of the grace period after which the process exits, even with requests in flight. */
 constexpr double exitShare = 0.93;
 
+/** Time before the exit in which responses are written. */
+constexpr milliseconds lastResponsesTime{100};
+
 /** Interval at which the shutdown checks whether all requests and connections are finished. */
 constexpr milliseconds shutdownCheckPeriod{50};
 
@@ -141,11 +144,11 @@
 {
     const time_point startedAt = steady::now();
     log_line("entry_leaving").add("entry", m_settings.vmName).info();
-    m_dataPlane.startShutdown();
+    const time_point exitAt = startedAt + shareOf(m_settings.fleetLimits.terminationGracePeriod, exitShare);
+    m_dataPlane.startShutdown(exitAt - lastResponsesTime);
     m_controlPlane.startShutdown();
     co_await sleepUntil(startedAt + shareOf(m_settings.fleetLimits.terminationGracePeriod, acceptShare));
     m_dataPlane.rejectNewRequests();
-    const time_point exitAt = startedAt + shareOf(m_settings.fleetLimits.terminationGracePeriod, exitShare);
     bool stoppedAccepting = false;
     while (steady::now() < exitAt) {
         const bool idle = m_dataPlane.requestsInFlight() == 0;
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -108,6 +108,10 @@
         time.sleep(0.6 if request_id.startswith("slow") else 0)
         connection.sendall(self.answer(request_id))
 
+    def slow(self, connection, request_id):
+        time.sleep(1.7)
+        connection.sendall(self.answer(request_id))
+
     def reset_upload(self, connection, request_id):
         """Responds before it has read the body, and resets the connection while the caller still sends."""
         connection.sendall(self.head(request_id) + b"half")
--- a/tests/system/restart_test.py
+++ b/tests/system/restart_test.py
@@ -1,5 +1,6 @@
 """Removed servers, withdrawn rules and expired requests stay so through restarts, pauses and stops of entries."""
 
+import http.client
 import signal
 import tempfile
 import threading
@@ -7,7 +8,8 @@
 import unittest
 
 from fleet import ask, wait_until
-from platformfleet import PlatformFleet, route
+from platformfleet import HOST, PlatformFleet, route
+from rawbackend import RawBackend
 
 PAUSE_SECONDS = 3.0
 
@@ -151,6 +153,45 @@
         self.assertEqual([error for _, seconds, error in interrupted
                           if b"reset" not in error or seconds > self.MAX_RESET_SECONDS], [])
 
+    # Guards against requests that are passed on so late that the end of the grace period cuts them.
+    def test_requests_that_arrive_during_a_stop_are_answered_or_rejected(self):
+        backend = RawBackend(self.store, "slow-1", service="desk", mode="slow")
+        self.addCleanup(backend.end)
+        self.store.put_config(6, {"lots": route("/lots/"), "desk": route("/desk/", "desk"),
+                                  "desk-once": route("/desk-once/", "desk", kind="unsafe")})
+        entry = self.fleet.entries[2]
+        wait_until(lambda: entry.send("/desk/x", attempt="first").status == 200, what="the slow server is used")
+        outcomes = {}
+
+        def call(request_id, path, method, connection, sent_at):
+            time.sleep(max(0.0, sent_at - time.monotonic()))
+            try:
+                connection.request(method, path, headers={"Host": HOST, "Attempt-Id": request_id,
+                                                          "Deadline-Ms": "2000", "Content-Length": "0"})
+                outcomes[request_id] = connection.getresponse().status
+            except (OSError, http.client.HTTPException):
+                outcomes[request_id] = 0
+
+        host, port = entry.traffic.rsplit(":", 1)
+        started_at = time.monotonic()
+        callers = []
+        for number in range(28):
+            path, method = ("/desk/x", "GET") if number % 2 else ("/desk-once/x", "POST")
+            connection = http.client.HTTPConnection(host, int(port), timeout=5)
+            self.addCleanup(connection.close)
+            # A stop begins now; the requests follow every tenth of a second on new connections.
+            callers.append(threading.Thread(
+                target=call, args=(f"late-{number}", path, method, connection, started_at + 0.05 + number / 10)))
+            callers[-1].start()
+        entry.signal(signal.SIGTERM)
+        entry.child.wait(timeout=6)
+        for caller in callers:
+            caller.join()
+        passed_on = [request_id for request_id in outcomes if request_id in backend.requests]
+        self.assertIn(200, outcomes.values())
+        self.assertIn(503, outcomes.values())
+        self.assertEqual({request_id: outcomes[request_id] for request_id in passed_on if outcomes[request_id] != 200}, {})
+
 
 if __name__ == "__main__":
     unittest.main()
