daemon: serve open connections to their end before leaving

With the resource API, an entry that stopped while the log service was away took requests that it then cut. It found itself idle 0.1 s after it had closed the traffic port, and spent up to 1.5 s on leaving the membership. In that time connections that were just accepted still waited for their first request, which was passed on, also one that may run only once, and cut without a response when the process ended.

Cause: the shutdown waited for requests in flight, not for connections on which one may still arrive.

Change: the traffic thread reports its open connections, and that the port is closed; the entry leaves the membership once there are none. Idle connections are closed after 0.5 s as before, so nothing waits longer than a first request, a response, and 1 s in which the caller closes.

Evidence: draining_test.py test_request_that_arrives_last_is_answered_while_the_store_is_down failed without the change ("Remote end closed connection without response") and passed three times with it.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -40,7 +40,7 @@
 constexpr int exitInvalidSetting = 2;
 constexpr int exitPortInUse = 3;
 
-/** Maximum time that the shutdown waits for requests in flight after the traffic port is closed. */
+/** Maximum time that the shutdown waits for connections of callers after the traffic port is closed. */
 constexpr milliseconds maxInFlightWait{60'000};
 
 /** Owns all components of the daemon and runs them. */
@@ -113,6 +113,12 @@
         }
     }
 
+    /** True if a request is in flight or may still arrive: open connections of callers are served until they end. */
+    static bool isServing(const traffic_report &report)
+    {
+        return !report.stopped || report.requestsInFlight > 0 || report.callerConnections > 0;
+    }
+
     asio::awaitable<void> awaitSignal()
     {
         asio::signal_set signals(m_control, SIGTERM, SIGINT);
@@ -124,7 +130,7 @@
 
     /**
      * Graceful shutdown: removes this entry from address responses, waits until callers have refreshed
-     * them, closes the traffic port, waits for requests in flight, and leaves the membership.
+     * them, closes the traffic port, waits until all connections of callers have ended, and leaves the membership.
      */
     asio::awaitable<void> shutDown()
     {
@@ -139,7 +145,7 @@
         do {
             timer.expires_at(steady::now() + reportPollInterval);
             co_await timer.async_wait(asTuple);
-        } while (m_state.report().requestsInFlight > 0 && steady::now() < deadline);
+        } while (isServing(m_state.report()) && steady::now() < deadline);
         constexpr milliseconds leaveTimeout{1500};
         co_await m_configLogClient.leave(steady::now() + leaveTimeout);
     }
--- a/daemon/reverseproxy.cpp
+++ b/daemon/reverseproxy.cpp
@@ -125,6 +125,11 @@
 void reverse_proxy::stop()
 {
     m_server.stopGracefully();
+    // A connection may have been accepted already whose handler has not run yet; it is counted first.
+    asio::post(m_context, [this] {
+        m_stopped = true;
+        report();
+    });
 }
 
 asio::awaitable<http_response> reverse_proxy::handle(http_request &request, http_exchange &callerExchange)
@@ -430,6 +435,8 @@
     nextReport->inFlightByBackend = m_inFlightByBackend;
     nextReport->announcedShutdowns = m_announcedShutdowns;
     nextReport->requestsInFlight = m_requestsInFlight;
+    nextReport->callerConnections = m_server.connectionCount();
+    nextReport->stopped = m_stopped;
     if (m_reportCount++ % reportsPerMetricsUpdate == 0) {
         m_metrics = renderMetrics();
         m_statuses = describeBackends();
--- a/daemon/reverseproxy.h
+++ b/daemon/reverseproxy.h
@@ -105,6 +105,7 @@
     std::map<std::string, std::uint32_t> m_inFlightByBackend;
     std::set<std::string> m_announcedShutdowns;
     std::uint64_t m_requestsInFlight = 0;
+    bool m_stopped = false;
     std::shared_ptr<const traffic_report> m_lastReport;
     unsigned m_reportCount = 0;
     std::string m_metrics;
--- a/daemon/trafficchannel.h
+++ b/daemon/trafficchannel.h
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -65,6 +66,10 @@
     std::set<std::string> announcedShutdowns;
     /** Number of requests in flight in this entry. */
     std::uint64_t requestsInFlight = 0;
+    /** Number of open connections of callers. */
+    std::size_t callerConnections = 0;
+    /** The traffic port is closed; callerConnections only decreases. */
+    bool stopped = false;
     /** State of all backend servers, about a second old at most; null before the first update. */
     std::shared_ptr<const std::vector<backend_status>> backends;
     /** Metrics of the traffic thread in Prometheus text format. */
--- a/tests/system/draining_test.py
+++ b/tests/system/draining_test.py
@@ -1,5 +1,6 @@
 """Graceful shutdown and draining interrupt no request, and draining servers get no new requests."""
 
+import http.client
 import signal
 import time
 import unittest
@@ -160,6 +161,32 @@
             self.assertNotIn("entry-1", members)
             self.assertEqual(backend.counts()["doubled"], 0)
 
+    # Guards against a request of a new connection that is passed on after the entry has found itself idle, while it
+    # still leaves the membership, and is cut when the process ends.
+    def test_request_that_arrives_last_is_answered_while_the_store_is_down(self):
+        with Fleet() as fleet:
+            fleet.start_log()
+            backend = fleet.start_backend("lots-0", service_ms=3000, slots=8)
+            entry = fleet.start_entry("entry-0", extra=["--leave_time_ms=3000"])
+            fleet.define_service(entry, "lots", [backend], timeout_ms=8000)
+            host, port = entry.traffic.rsplit(":", 1)
+            fleet.all_logs(mode="down")
+            stopped_at = time.monotonic() + 3.0
+            entry.signal(signal.SIGTERM)
+            # The entry waits 0.5 s for the first request of a new connection.
+            time.sleep(stopped_at - 0.1 - time.monotonic())
+            connections = [http.client.HTTPConnection(host, int(port), timeout=10) for _ in range(3)]
+            for connection in connections:
+                self.addCleanup(connection.close)
+                connection.connect()
+            for number, connection in enumerate(connections):
+                time.sleep(max(0.0, stopped_at + 0.2 + 0.05 * number - time.monotonic()))
+                connection.request("POST", "/lots", body=b"x", headers={"x-request-id": f"last-{number}"})
+            for connection in connections:
+                response = connection.getresponse()
+                self.assertEqual((response.status, response.headers["x-outcome"]), (200, "answered"))
+            wait_until(lambda: entry.child.poll() is not None, 10, "the entry has stopped")
+
 
 if __name__ == "__main__":
     unittest.main()
