daemon: a stop waits as long as requests may take

With the resource API, a request that was in flight for more than 60 s after the traffic port had been closed was cut without a response when the entry stopped, though the timeout of a service may be up to 600 s.

Cause: the shutdown waited for 60 s at most.

Change: it waits for the longest timeout that a service may have, and for the time to write a response. Each request ends at its own deadline, so an entry whose services have shorter timeouts stops as soon as before.

Evidence: draining_test.py test_stop_waits_for_a_request_that_takes_longer_than_a_minute got "Remote end closed connection without response" after 64 s without the change; with it draining_test.py passes, 9 of 9.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -14,6 +14,7 @@
 
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/tasks.h"
+#include "cardamomdeck/model/resource.h"
 #include "cardamomdeck/platform/httplogservice.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -40,8 +41,11 @@
 constexpr int exitInvalidSetting = 2;
 constexpr int exitPortInUse = 3;
 
-/** Maximum time that the shutdown waits for connections of callers after the traffic port is closed. */
-constexpr milliseconds maxInFlightWait{60'000};
+/**
+ * Maximum time that the shutdown waits for connections of callers after the traffic port is closed: that of the longest
+ * request, and of writing its response.
+ */
+constexpr milliseconds maxConnectionWait = maxServiceTimeout + milliseconds(15'000);
 
 /** Owns all components of the daemon and runs them. */
 class entry_daemon
@@ -140,7 +144,7 @@
         timer.expires_at(steady::now() + m_settings.shutdownDelay);
         co_await timer.async_wait(asTuple);
         asio::post(m_traffic, [this] { m_proxy.stop(); });
-        const time_point deadline = steady::now() + maxInFlightWait;
+        const time_point deadline = steady::now() + maxConnectionWait;
         constexpr milliseconds reportPollInterval{100};
         do {
             timer.expires_at(steady::now() + reportPollInterval);
--- a/libs/model/include/cardamomdeck/model/resource.h
+++ b/libs/model/include/cardamomdeck/model/resource.h
@@ -34,6 +34,9 @@
  */
 boost::leaf::result<resource_kind> resourceKindFromPath(std::string_view segment);
 
+/** Upper limit of service_spec::timeout. */
+inline constexpr milliseconds maxServiceTimeout{600'000};
+
 /** A service with the limits and policies for its requests. */
 struct service_spec
 {
--- a/libs/model/src/resource.cpp
+++ b/libs/model/src/resource.cpp
@@ -17,7 +17,7 @@
 constexpr std::array<std::string_view, 5> strategyNameList
     = {"load_aware", "least_in_flight", "least_reported", "round_robin", "random"};
 
-constexpr std::int64_t maxTimeoutMs = 600'000;
+constexpr std::int64_t maxTimeoutMs = maxServiceTimeout.count();
 constexpr std::int64_t maxCount = 1'000'000;
 constexpr std::int64_t maxAllowedBodyBytes = 64 * 1024 * 1024;
 constexpr std::int64_t maxPercent = 100;
--- a/tests/system/draining_test.py
+++ b/tests/system/draining_test.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from fleet import Caller, Fleet, ask, wait_until
+from fleet import Caller, Fleet, RawBackend, ask, http_reply, wait_until
 
 NO_NEW_REQUESTS_SECONDS = 4.0
 
@@ -187,6 +187,23 @@
                 self.assertEqual((response.status, response.headers["x-outcome"]), (200, "answered"))
             wait_until(lambda: entry.child.poll() is not None, 10, "the entry has stopped")
 
+    def test_stop_waits_for_a_request_that_takes_longer_than_a_minute(self):
+        with Fleet() as fleet:
+            fleet.start_log()
+
+            def respond(head):
+                time.sleep(0 if "/load" in head else 64.5)
+                return http_reply(), False
+
+            backend = RawBackend("lots-0", respond)
+            self.addCleanup(backend.stop)
+            entry = fleet.start_entry("entry-0", extra=["--leave_time_ms=3000"])
+            fleet.define_service(entry, "lots", [backend], timeout_ms=90_000)
+            entry.signal(signal.SIGTERM)
+            answer = ask(entry.traffic, "POST", "/lots", b"x", {"x-request-id": "long"}, timeout=80)
+            self.assertEqual((answer.status, answer.outcome), (200, "answered"), answer.body)
+            wait_until(lambda: entry.child.poll() is not None, 10, "the entry has stopped")
+
 
 if __name__ == "__main__":
     unittest.main()
