--- a/daemon/proxiedrequest.cpp
+++ b/daemon/proxiedrequest.cpp
@@ -27,7 +27,7 @@
 
 constexpr std::size_t spanIdDigits = 16;
 
-/** Sets the length of a body that the backend server sent in chunks, or that may be without a length. */
+/** Sets the length of the body, which the backend server may have sent in chunks or without a length. */
 void setBodyLength(http_response &response, http::verb method)
 {
     const http::status status = response.result();
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import threading
@@ -383,6 +384,12 @@
                 return
 
 
+def reset(connection):
+    """Closes a socket with a reset instead of a regular end."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 def raw_exchange(address, data, timeout=5.0):
     """Sends raw bytes and returns everything received until the connection ends or the timeout expires."""
     host, port = address.rsplit(":", 1)
--- a/tests/system/malformed_responses_test.py
+++ b/tests/system/malformed_responses_test.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 
-from fleet import BIN, Fleet, Relay, ask, http_reply, wait_until
+from fleet import BIN, Fleet, Relay, ask, http_reply, reset, wait_until
 from fleet import RawBackend as ScriptedServer
 from platformfleet import HOST, PlatformFleet, route
 from rawbackend import RawBackend
@@ -78,8 +78,7 @@
             return
         connection.sendall(self.response)
         time.sleep(0.05)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-        connection.close()
+        reset(connection)
 
 
 class OnThePlatform(unittest.TestCase):
@@ -90,7 +89,7 @@
         self.store, self.entry = self.fleet.store, self.fleet.entries[0]
 
     def serve(self, **modes):
-        """Starts a server for each mode, named after it, and routes for requests that may run several times or once."""
+        """Starts a server of each name and mode, and routes for requests that may run several times or once."""
         self.servers = {name: RawBackend(self.store, name, mode=mode) for name, mode in modes.items()}
         for server in self.servers.values():
             self.addCleanup(server.end)
@@ -101,7 +100,7 @@
         self.fleet.wait_until_serving("/desk/x")
 
     def send(self, path, method="GET", attempt="a1", body=b""):
-        """Returns status line and body as the caller receives them; the body as far as its length says."""
+        """Returns status line and body as the caller receives them until the end of the connection."""
         with self.entry.connect() as caller:
             caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 2000\r\n"
                            f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
@@ -126,10 +125,12 @@
         server = RawBackend(self.store, name, mode="malformed")
         self.addCleanup(server.end)
         server.malform = malform
-        wait_until(lambda: name in [backend["name"] for backend in ask(self.entry.api, "GET", "/v1/fleet").json["backends"]],
-                   5, f"{name} is known")
+        wait_until(lambda: name in self.known_servers(), 5, f"{name} is known")
         return server
 
+    def known_servers(self):
+        return [server["name"] for server in ask(self.entry.api, "GET", "/v1/fleet").json["backends"]]
+
     def assert_valid_response(self, attempt):
         self.assertEqual(self.send("/lots/x", attempt=attempt), ("HTTP/1.1 200 OK", attempt.encode()))
 
@@ -183,14 +184,14 @@
 
     def test_malformed_response_of_the_store_is_not_trusted(self):
         relay = MalformingRelay(self.store.address)
-        address, self.store.address = self.store.address, relay.address
-        entry = self.fleet.start_entry(0)
-        self.store.address = address
-        self.entry = entry
+        store_address, self.store.address = self.store.address, relay.address
+        self.entry = self.fleet.start_entry(0)
+        self.store.address = store_address
         self.serve(good="ok")
         for number, (name, malform) in enumerate(SAMPLES.items()):
             path = f"/new-{number}/"
             relay.malform = malform
+            # Reads that were in progress end.
             time.sleep(0.5)
             self.store.put_config(6 + number, {"lots": route("/lots/"), "desk": route("/desk/", "desk"),
                                                "new": route(path)})
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from fleet import reset
 from ports import free_port
 from platformfleet import backend_report
 
@@ -116,11 +117,7 @@
         """Responds before it has read the body, and resets the connection while the caller still sends."""
         connection.sendall(self.head(request_id) + b"half")
         time.sleep(0.05)
-        self.reset(connection)
-
-    def reset(self, connection):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-        connection.close()
+        reset(connection)
 
     def endless_after(self, connection, request_id):
         connection.sendall(self.answer(request_id))
@@ -156,7 +153,7 @@
 
     def reset_unframed(self, connection, request_id):
         connection.sendall(self.head(request_id) + b"half")
-        self.reset(connection)
+        reset(connection)
 
     def endless_chunks(self, connection, request_id):
         connection.sendall(self.head(request_id, "Transfer-Encoding: chunked"))
