tests: a stand-in that closes says so

Cause: the stand-in closed the connection after the 204 without announcing it. The next request, which may run only once, was sent on the connection before its close had arrived, so its outcome is truly unknown.

The test checks the same of callers.

--- a/tests/system/request_path_test.py
+++ b/tests/system/request_path_test.py
@@ -32,11 +32,13 @@
 class ResponseFraming(unittest.TestCase):
     """Responses that the server does not frame by a length reach callers on connections that stay open."""
 
+    # The response, whether the server closes the connection after it, and the status and body that the caller gets. A
+    # server that closes says so, as a request that follows at once would be lost.
     RESPONSES = {
-        "chunked": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, b"body"),
-        "empty": (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", 200, b""),
-        "error": (b"HTTP/1.0 404 Not Found\r\n\r\n", 404, b""),
-        "no-content": (b"HTTP/1.1 204 No Content\r\n\r\n", 204, b""),
+        "chunked": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", False, 200, b"body"),
+        "empty": (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", True, 200, b""),
+        "error": (b"HTTP/1.0 404 Not Found\r\n\r\n", True, 404, b""),
+        "no-content": (b"HTTP/1.1 204 No Content\r\n\r\n", False, 204, b""),
     }
 
     # Guards against a caller that waits for the end of the connection, or that takes the next response for the body.
@@ -44,9 +46,9 @@
         with Fleet() as fleet:
             fleet.start_log()
             entry = fleet.start_entry("entry-1")
-            for name, (reply, status, body) in self.RESPONSES.items():
-                backend = RawBackend(f"raw-{name}", lambda head, reply=reply: (
-                    (http_reply(), False) if "/load" in head else (reply, b"chunked" not in reply)))
+            for name, (reply, closes, status, body) in self.RESPONSES.items():
+                backend = RawBackend(f"raw-{name}", lambda head, reply=reply, closes=closes: (
+                    (http_reply(), False) if "/load" in head else (reply, closes)))
                 self.addCleanup(backend.stop)
                 fleet.define_service(entry, name, [backend], timeout_ms=2000)
                 host, port = entry.traffic.rsplit(":", 1)
