fleet: tell the first record of the topic from no change

Cause: the offset of the last change was a number, and 0 stood for "none" too. Announcements listed changes from offset 1 on, and a peer without servers took itself to be up to date with the first record.

Change: the offset is optional in positions, announced changes and the registry. Messages keep the number where earlier versions read it, and say in a further field whether there is one, so that both versions understand each other. The other places of a topic that are kept are end offsets, where 0 means that nothing has been read.

--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -47,6 +47,12 @@
 constexpr milliseconds relayTimeout{250};
 constexpr milliseconds relayJitter{150};
 
+/** The offset for log lines. */
+std::string textOf(std::optional<store_offset> offset)
+{
+    return offset ? std::to_string(*offset) : "none";
+}
+
 fleet_member makeLocalMember(const platform::platform_settings &settings)
 {
     fleet_member self{settings.vmName, settings.zone, settings.host, unixMilliseconds()};
@@ -145,7 +151,7 @@
             .add("source", "store")
             .add("config_from", previousPosition.configVersion)
             .add("config", position.configVersion)
-            .add("backends_changed_at", position.lastBackendChangeOffset)
+            .add("backends_changed_at", textOf(position.lastBackendChangeOffset))
             .info();
         publish();
     }
@@ -197,7 +203,7 @@
         log_line("view_changed")
             .add("source", heartbeat.sender.name)
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", m_state.position().lastBackendChangeOffset)
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
             .add("age_ms", heartbeat.viewAge->count())
             .info();
         publish();
@@ -229,7 +235,7 @@
         log_line("view_changed")
             .add("source", "relay")
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", m_state.position().lastBackendChangeOffset)
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
             .info();
         publish();
     }
@@ -274,7 +280,7 @@
             .add("source", heartbeat.sender.name)
             .add("config_from", request.position.configVersion)
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", m_state.position().lastBackendChangeOffset)
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
             .add("age_ms", heartbeat.viewAge->count())
             .info();
     }
--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -64,8 +64,8 @@
     /** Effective changes with offsets from @p fromOffset on, for peers. */
     std::vector<backend_record> changesSince(store_offset fromOffset) const;
 
-    /** Offset of the last effective change; an upper bound of it while hasOnlyInitialListing(). */
-    store_offset lastChangeOffset() const;
+    /** Offset of the last effective change, or none; an upper bound of it while hasOnlyInitialListing(). */
+    std::optional<store_offset> lastChangeOffset() const;
 
     /**
      * True while no change has followed the initial listing. A listing has the newest record of each server, which may
@@ -74,8 +74,8 @@
      */
     bool hasOnlyInitialListing() const;
 
-    /** True when no record up to and including @p offset is new. */
-    bool isUpToDateWith(store_offset offset) const;
+    /** True when no record up to and including @p offset is new; always true if @p offset is none. */
+    bool isUpToDateWith(std::optional<store_offset> offset) const;
 
     /** Offset up to which all records have been applied. */
     store_offset endOffset() const;
@@ -89,7 +89,7 @@
         std::optional<backend_server> server;
         store_offset offset = 0;
         /** Offset of the last change, including the start of a grace period. */
-        store_offset lastChangeOffset = 0;
+        std::optional<store_offset> lastChangeOffset;
         /** Incarnation and sequence number of the newest report; only later ones are applied. */
         std::int64_t lastStartUnixMs = 0;
         std::uint64_t lastSequence = 0;
@@ -105,7 +105,8 @@
     /** Cached result of usable(); null after a change. */
     mutable backends_by_service_ptr m_usable;
     store_offset m_endOffset = 0;
-    store_offset m_lastChangeOffset = 0;
+    /** Offset 0 is that of the first record of the topic, so it cannot stand for "no change". */
+    std::optional<store_offset> m_lastChangeOffset;
     bool m_onlyInitialListing = false;
     std::optional<time_point> m_graceEndsAt;
 };
--- a/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
@@ -27,18 +27,18 @@
     std::uint64_t configVersion = 0;
     /** Offset after the last read record of the configuration topic. */
     store_offset configEndOffset = 0;
-    /** Offset of the last effective change of a backend server. */
-    store_offset lastBackendChangeOffset = 0;
+    /** Offset of the last effective change of a backend server; none before the first one. */
+    std::optional<store_offset> lastBackendChangeOffset;
     /** Offset after the last read backend record. */
     store_offset backendsEndOffset = 0;
 
     bool operator==(const view_position &) const = default;
 };
 
-/** Changes of backend servers after an offset. */
+/** Changes of backend servers after an offset; none for those from the start of the topic. */
 struct backend_changes
 {
-    store_offset afterOffset = 0;
+    std::optional<store_offset> afterOffset;
     std::vector<backend_record> records;
 
     bool operator==(const backend_changes &) const = default;
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -20,7 +20,7 @@
     const bool changed = record.server ? applyReport(known, *record.server) : applyRemoval(known, now);
     if (changed || known.graceEndsAt) {
         known.lastChangeOffset = record.offset;
-        m_lastChangeOffset = std::max(m_lastChangeOffset, record.offset);
+        m_lastChangeOffset = std::max(m_lastChangeOffset, known.lastChangeOffset);
         m_onlyInitialListing = false;
     }
     if (changed) {
@@ -86,9 +86,9 @@
     return changed;
 }
 
-bool backend_registry::isUpToDateWith(store_offset offset) const
+bool backend_registry::isUpToDateWith(std::optional<store_offset> offset) const
 {
-    return offset < m_endOffset || offset <= m_lastChangeOffset;
+    return !offset || *offset < m_endOffset || offset <= m_lastChangeOffset;
 }
 
 bool backend_registry::hasOnlyInitialListing() const
@@ -134,15 +134,15 @@
 {
     std::vector<backend_record> records;
     for (const auto &[id, known] : m_backends) {
-        if (known.lastChangeOffset >= fromOffset) {
-            records.push_back({id, known.lastChangeOffset, known.removed ? std::nullopt : known.server});
+        if (known.lastChangeOffset && *known.lastChangeOffset >= fromOffset) {
+            records.push_back({id, *known.lastChangeOffset, known.removed ? std::nullopt : known.server});
         }
     }
     std::ranges::sort(records, {}, &backend_record::offset);
     return records;
 }
 
-store_offset backend_registry::lastChangeOffset() const
+std::optional<store_offset> backend_registry::lastChangeOffset() const
 {
     return m_lastChangeOffset;
 }
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -38,12 +38,14 @@
             fields.at(6).get<std::uint32_t>()};
 }
 
+/** Entries of earlier versions read the last change as a number, so whether there is one is a field of its own. */
 json toJson(const view_position &position)
 {
     return json::array({position.configVersion,
                         position.configEndOffset,
-                        position.lastBackendChangeOffset,
-                        position.backendsEndOffset});
+                        position.lastBackendChangeOffset.value_or(0),
+                        position.backendsEndOffset,
+                        position.lastBackendChangeOffset.has_value()});
 }
 
 /** Maximum of the durations in messages; larger ones could overflow when they are applied to a point in time. */
@@ -61,10 +63,17 @@
 
 view_position positionFromJson(const json &fields)
 {
-    return {fields.at(0).get<std::uint64_t>(),
-            fields.at(1).get<store_offset>(),
-            fields.at(2).get<store_offset>(),
-            fields.at(3).get<store_offset>()};
+    view_position position{
+        fields.at(0).get<std::uint64_t>(), fields.at(1).get<store_offset>(), {}, fields.at(3).get<store_offset>()};
+    const auto lastChange = fields.at(2).get<store_offset>();
+    constexpr std::size_t earlierVersionFields = 4;
+    // An entry of an earlier version sends 0 both for the first record and for no change.
+    const bool hasChange = fields.size() > earlierVersionFields ? fields.at(earlierVersionFields).get<bool>()
+                                                                : lastChange > 0 || position.backendsEndOffset > 0;
+    if (hasChange) {
+        position.lastBackendChangeOffset = lastChange;
+    }
+    return position;
 }
 
 json toJson(const backend_record &record, time_point now)
@@ -222,8 +231,9 @@
     }
     json changes = json::array();
     if (heartbeat.changes) {
-        changes.push_back(heartbeat.changes->afterOffset);
+        changes.push_back(heartbeat.changes->afterOffset.value_or(0));
         changes.push_back(recordsToJson(heartbeat.changes->records, now));
+        changes.push_back(heartbeat.changes->afterOffset.has_value());
     }
     const json age = heartbeat.viewAge ? json(heartbeat.viewAge->count()) : json();
     return pack(json::array({toJson(heartbeat.sender),
@@ -266,7 +276,11 @@
             heartbeat.gossipedMembers.push_back({memberFromJson(gossiped.at(0)), ageFromJson(gossiped.at(1))});
         }
         if (const json &changes = fields.at(5); !changes.empty()) {
+            constexpr std::size_t earlierVersionFields = 2;
             heartbeat.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
+            if (changes.size() > earlierVersionFields && !changes.at(earlierVersionFields).get<bool>()) {
+                heartbeat.changes->afterOffset.reset();
+            }
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -17,6 +17,12 @@
 /** Minimum time between two view requests for members that a peer has and this entry lacks. */
 constexpr milliseconds minMemberRequestInterval{2000};
 
+/** The offset after @p offset, or the start of the topic. */
+store_offset offsetAfter(std::optional<store_offset> offset)
+{
+    return offset ? *offset + 1 : 0;
+}
+
 }
 
 fleet_state::fleet_state(fleet_member self)
@@ -232,7 +238,7 @@
         response.config = m_configHistory.updateFrom(request.position.configVersion);
     }
     response.backends = m_backends.changesSince(
-        std::max(request.position.lastBackendChangeOffset, request.position.backendsEndOffset));
+        std::max(request.position.lastBackendChangeOffset.value_or(0), request.position.backendsEndOffset));
     response.members = m_members.alive(now);
     return response;
 }
@@ -272,7 +278,7 @@
 heartbeat_message fleet_state::heartbeatWithChanges(const view_position &before, time_point now) const
 {
     heartbeat_message changesMessage = basicHeartbeat(now);
-    std::vector<backend_record> records = m_backends.changesSince(before.lastBackendChangeOffset + 1);
+    std::vector<backend_record> records = m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset));
     if (!records.empty() && fitsHeartbeat(records)) {
         changesMessage.changes = {before.lastBackendChangeOffset, std::move(records)};
     }
@@ -286,7 +292,8 @@
         return std::nullopt;
     }
     const bool newConfig = m_config->version > before.configVersion;
-    const bool fits = !newConfig && fitsHeartbeat(m_backends.changesSince(before.lastBackendChangeOffset + 1));
+    const bool fits
+        = !newConfig && fitsHeartbeat(m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset)));
     if (fits || !m_members.isLarge()) {
         return std::nullopt;
     }
