--- a/libs/fleet/include/cardamomdeck/fleet/trafficconfig.h
+++ b/libs/fleet/include/cardamomdeck/fleet/trafficconfig.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,10 @@
     std::uint32_t maxAttempts = 1;
     /** Never empty. */
     std::vector<weighted_service> services;
+    /** Requests need no key, even if the configuration has workspaces. */
+    bool anonymous = false;
+    /** Regions whose backend servers may run the requests; empty for all. */
+    std::set<std::string> allowedRegions;
 
     bool operator==(const traffic_rule &) const = default;
 };
@@ -56,6 +62,10 @@
     std::string healthPath;
     /** Number of connections that one backend server accepts from all entries together. */
     std::uint32_t maxConnections = 0;
+    /** Time after its start for which a server is cold. */
+    milliseconds warmupTime{0};
+    /** Requests per second that a cold server tolerates from all entries together; 0 for no limit. */
+    double warmupRequestsPerSecond = 0;
 
     bool operator==(const service_profile &) const = default;
 };
@@ -71,6 +81,24 @@
     bool operator==(const caller_limits &) const = default;
 };
 
+/** A customer of the operator, whose callers identify themselves by a key. */
+struct workspace
+{
+    std::string name;
+    /** Secrets: they must not appear in logs, metrics, errors or messages other than the configuration itself. */
+    std::vector<std::string> keys;
+    /** Goes before the priority of the rule. */
+    std::optional<std::uint32_t> priority;
+    /** Quota in requests per second over all entries; 0 for no limit. */
+    double requestsPerSecond = 0;
+    /** Number of requests beyond the rate that may come at once. */
+    double burst = 0;
+    /** Regions whose backend servers may run the requests; empty for all. */
+    std::set<std::string> allowedRegions;
+
+    bool operator==(const workspace &) const = default;
+};
+
 /** One version of the configuration. */
 struct traffic_config
 {
@@ -80,6 +108,10 @@
     std::vector<traffic_rule> rules;
     std::map<std::string, service_profile> services;
     caller_limits limits;
+    /** By name. */
+    std::map<std::string, workspace> workspaces;
+    /** Requests need the key of a workspace; set if the configuration has a table of workspaces, even an empty one. */
+    bool requiresKeys = false;
 
     bool operator==(const traffic_config &) const = default;
 };
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -292,8 +292,7 @@
         return std::nullopt;
     }
     const bool newConfig = m_config->version > before.configVersion;
-    const bool fits
-        = !newConfig && fitsHeartbeat(m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset)));
+    const bool fits = !newConfig && fitsHeartbeat(m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset)));
     if (fits || !m_members.isLarge()) {
         return std::nullopt;
     }
