--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -119,14 +119,14 @@
         }
     }
     const view_position position = state.position();
-    const json body = {{"entry", state.members().self().name},
-                       {"config_version", position.configVersion},
-                       {"backends_changed_at",
-                        position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
-                       {"view_age_ms", toMilliseconds(now - state.freshAt())},
-                       {"store_available", m_controlPlane.isStoreAvailable()},
-                       {"members", members},
-                       {"backends", backends}};
+    const json body
+        = {{"entry", state.members().self().name},
+           {"config_version", position.configVersion},
+           {"backends_changed_at", position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
+           {"view_age_ms", toMilliseconds(now - state.freshAt())},
+           {"store_available", m_controlPlane.isStoreAvailable()},
+           {"members", members},
+           {"backends", backends}};
     return body.dump();
 }
 
