gateway: authorize requests by the keys of workspaces

Cause: the configuration may name workspaces whose callers identify themselves by a key, but nothing acted on it.

With a table of workspaces each request on a route that is not anonymous needs a key that exactly one workspace holds; otherwise it is answered with 401 (key_unknown, not run). workspace_table finds the workspace of a key by one hash lookup in the installed configuration. The key and a workspace name that the caller stated are removed, and the name of the workspace is set after the removal of hop-by-hop headers. Trailers of requests are dropped, as Beast would add them to the header. The priority of a workspace replaces that of the rule, and allowed regions restrict the servers of a request (zone_filter).

--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -43,7 +43,8 @@
     std::vector<backend_state_ptr> backends;
     for (const auto &[id, backend] : m_request.service->backends) {
         const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && backend->isUsable(now) && !m_triedBackends.contains(id)) {
+        if (inZone == sameZone && m_request.zones.allows(backend->server.zone) && backend->isUsable(now)
+            && !m_triedBackends.contains(id)) {
             backends.push_back(backend);
         }
     }
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -73,6 +73,7 @@
                        const platform::platform_settings &settings,
                        stale_view_check isViewPossiblyStale)
     : m_settings(settings)
+    , m_zoneRegions(settings.zoneRegions)
     , m_random(std::random_device()())
     , m_bodyMemory(byte_budget::limitFor(settings.resources.memoryBytes))
     , m_pool(context.get_executor())
@@ -97,6 +98,7 @@
     , m_view(std::make_shared<fleet_view>())
     , m_entryResolver(settings.vmName)
 {
+    m_zoneRegions.try_emplace(settings.zone, settings.region);
 }
 
 result_code data_plane::start()
@@ -173,6 +175,7 @@
     const caller_limits &limits = view->config->limits;
     m_trafficServer.setLimits({limits.maxHeaderBytes, limits.maxBodyBytes}, limits.headerTimeout, limits.idleTimeout);
     m_rules = rule_table(view->config);
+    m_authorizer.applyConfig(view->config);
     std::erase_if(m_splits, [this](const auto &item) {
         const traffic_rule *const rule = m_rules.findByName(item.first);
         return rule == nullptr || rule->services != item.second.services();
@@ -222,6 +225,11 @@
     return m_services.services();
 }
 
+const request_authorizer &data_plane::authorizer() const
+{
+    return m_authorizer;
+}
+
 const request_history &data_plane::history() const
 {
     return m_history;
@@ -318,11 +326,16 @@
     if (!rule) {
         co_return rejectUnsentRequest(request, result_code::route_unknown);
     }
+    // After the route, which may need no key.
+    authorization authorized = m_authorizer.authorize(request, *rule);
+    if (authorized.rejection) {
+        co_return makeErrorResponse(result_code::key_unknown, unavailableRetryAfter);
+    }
     if (m_bodyMemory.isAbove(byte_budget::rejectionThreshold)) {
         co_return rejectUnsentRequest(request, result_code::memory_short);
     }
     const count_guard inFlightGuard(m_requestsInFlight);
-    co_return co_await forward(request, exchange, rule, arrivedAt);
+    co_return co_await forward(request, exchange, rule, std::move(authorized.workspace), arrivedAt);
 }
 
 void data_plane::logRequest(const request_forwarder &forwarder,
@@ -346,6 +359,9 @@
         .add("probed", forwarder.candidateCount())
         .add("expected_ms", forwarder.expectedLatencyMs())
         .add("took_ms", durationMs);
+    if (forwarder.request().workspace) {
+        line.add("workspace", forwarder.request().workspace->name);
+    }
     if (load) {
         line.add("running", load->running).add("waiting", load->waiting).add("pace", load->slowdown);
     }
@@ -360,8 +376,11 @@
     m_history.add({forwarder.request().id, line.text()});
 }
 
-asio::awaitable<http_response>
-data_plane::forward(http_request &request, http_exchange &exchange, traffic_rule_ptr rule, time_point arrivedAt)
+asio::awaitable<http_response> data_plane::forward(http_request &request,
+                                                   http_exchange &exchange,
+                                                   traffic_rule_ptr rule,
+                                                   workspace_ptr workspace,
+                                                   time_point arrivedAt)
 {
     const platform::caller_request caller = platform::decodeCallerRequest(request);
     const time_point deadline = arrivedAt + std::min(rule->timeout, caller.timeout.value_or(rule->timeout));
@@ -376,12 +395,20 @@
         co_return rejectUnsentRequest(request, result_code::no_backend);
     }
     removeHopByHopHeaders(request);
+    if (workspace) {
+        platform::setWorkspaceName(request, workspace->name);
+        forwarded.zones = zone_filter(rule->allowedRegions, workspace->allowedRegions, m_zoneRegions);
+    } else {
+        forwarded.zones = zone_filter(rule->allowedRegions, {}, m_zoneRegions);
+    }
     request.erase(boost::beast::http::field::expect);
     forwarded.message = std::move(request);
     forwarded.message.keep_alive(true);
     forwarded.message.prepare_payload();
     forwarded.id = caller.requestId;
     forwarded.rule = rule;
+    forwarded.priority = workspace ? workspace->priority.value_or(rule->priority) : rule->priority;
+    forwarded.workspace = std::move(workspace);
     forwarded.mostUrgentPriority = m_rules.mostUrgentPriority(service);
     forwarded.liveMembers = m_view->liveMembers;
     forwarded.arrivedAt = arrivedAt;
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -6,6 +6,7 @@
 
 #include "backendprober.h"
 #include "connectionpool.h"
+#include "requestauthorizer.h"
 #include "requestforwarder.h"
 #include "requesthistory.h"
 #include "servicestate.h"
@@ -73,14 +74,20 @@
     /** All services with their backend servers, by name. */
     const std::map<std::string, service_state_ptr> &services() const;
 
+    /** Authorizes the requests of callers. */
+    const request_authorizer &authorizer() const;
+
     /** Log lines of the most recent requests. */
     const request_history &history() const;
 
 private:
     boost::asio::awaitable<http_response> handleRequest(http_request &request, http_exchange &exchange);
     boost::asio::awaitable<http_response> handlePlatformRequest(http_request &request);
-    boost::asio::awaitable<http_response>
-    forward(http_request &request, http_exchange &exchange, traffic_rule_ptr rule, time_point arrivedAt);
+    boost::asio::awaitable<http_response> forward(http_request &request,
+                                                  http_exchange &exchange,
+                                                  traffic_rule_ptr rule,
+                                                  workspace_ptr workspace,
+                                                  time_point arrivedAt);
     void logRequest(const request_forwarder &forwarder,
                     const forwarding_outcome &outcome,
                     std::uint64_t configVersion,
@@ -101,6 +108,8 @@
     std::string selectService(const traffic_rule &rule);
 
     const platform::platform_settings &m_settings;
+    /** Regions of all zones of the settings and of the entry's own zone. */
+    zone_regions m_zoneRegions;
     random_source m_random;
     byte_budget m_bodyMemory;
     connection_pool m_pool;
@@ -115,6 +124,7 @@
     fleet_view_ptr m_view;
     entry_resolver m_entryResolver;
     rule_table m_rules;
+    request_authorizer m_authorizer;
     request_history m_history;
     /** Traffic splits by rule name; a split whose services have changed is created again. */
     std::map<std::string, traffic_split> m_splits;
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -12,7 +12,9 @@
 #include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
+#include "cardamomdeck/dispatch/zonefilter.h"
 #include "cardamomdeck/fleet/ruletable.h"
+#include "cardamomdeck/fleet/workspacetable.h"
 #include "cardamomdeck/http/httpconnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -42,8 +44,14 @@
     http_request message;
     std::string id;
     traffic_rule_ptr rule;
+    /** Null on anonymous routes and without workspaces. */
+    workspace_ptr workspace;
+    /** Priority of the workspace, or else of the rule. */
+    std::uint32_t priority = 0;
+    /** Zones whose servers may run the request. */
+    zone_filter zones;
     service_state_ptr service;
-    /** Most urgent priority of the service's rules. */
+    /** Most urgent priority that a request to the service can have. */
     std::uint32_t mostUrgentPriority = 0;
     std::size_t liveMembers = 1;
     time_point arrivedAt;
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -117,7 +117,7 @@
     const std::optional<backend_choice> choice = chosen ? std::optional(chosen->choice) : std::nullopt;
     const choice_request choiceRequest = makeChoiceRequest(m_request, steady::now());
     const admission_decision decision
-        = admit(choice, choiceRequest, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
+        = admit(choice, choiceRequest, m_request.priority, m_request.mostUrgentPriority, m_context.random);
     if (!decision.admitted || choiceRequest.remainingMs < minAttemptMs) {
         if (chosen) {
             m_selector.releaseConnection(*chosen);
@@ -313,7 +313,7 @@
 void request_forwarder::considerWithheldBackends()
 {
     const time_point now = steady::now();
-    m_outcome.withheld = withheldBackends(*m_request.service, now);
+    m_outcome.withheld = withheldBackends(*m_request.service, now, m_request.zones);
     if (m_outcome.withheld == withheld_backends()) {
         return;
     }
@@ -324,7 +324,7 @@
     if (m_outcome.withheld.earliestEnd) {
         const auto untilEnd = std::chrono::ceil<milliseconds>(*m_outcome.withheld.earliestEnd - now);
         m_outcome.retryAfter
-            = retryDelayAfterPause(untilEnd, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
+            = retryDelayAfterPause(untilEnd, m_request.priority, m_request.mostUrgentPriority, m_context.random);
     }
 }
 
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -25,10 +25,13 @@
 
 }
 
-withheld_backends withheldBackends(const service_state &service, time_point now)
+withheld_backends withheldBackends(const service_state &service, time_point now, const zone_filter &zones)
 {
     withheld_backends withheld;
     for (const auto &[id, backend] : service.backends) {
+        if (!zones.allows(backend->server.zone)) {
+            continue;
+        }
         const auto pausedUntil = backend->availability->pausedUntil(now);
         if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
             ++withheld.leaving;
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -15,6 +15,7 @@
 #include "cardamomdeck/dispatch/movingaverage.h"
 #include "cardamomdeck/dispatch/proberatelimiter.h"
 #include "cardamomdeck/dispatch/retrybudget.h"
+#include "cardamomdeck/dispatch/zonefilter.h"
 #include "cardamomdeck/fleet/fleetview.h"
 
 #include <cstdint>
@@ -107,8 +108,8 @@
     bool operator==(const withheld_backends &) const = default;
 };
 
-/** The servers of @p service that accept no requests at @p now because of their own announcements. */
-withheld_backends withheldBackends(const service_state &service, time_point now);
+/** The servers of @p service in @p zones that accept no requests at @p now because of their own announcements. */
+withheld_backends withheldBackends(const service_state &service, time_point now, const zone_filter &zones = {});
 
 /** All services; kept current with the view of the fleet. */
 class service_table
--- a/libs/base/src/resultcode.cpp
+++ b/libs/base/src/resultcode.cpp
@@ -65,6 +65,7 @@
      outcome::not_run,
      503,
      "All backend servers are leaving or have asked for a pause."},
+    {result_code::key_unknown, "key_unknown", outcome::not_run, 401, "The request has no valid key of a workspace."},
     {result_code::deadline_passed,
      "deadline_passed",
      outcome::unknown,
--- a/libs/fleet/include/cardamomdeck/fleet/ruletable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/ruletable.h
@@ -40,8 +40,8 @@
     const traffic_rule *findByName(std::string_view name) const;
 
     /**
-     * The most urgent priority (lowest number) of the rules that route to @p service; the least urgent if there is
-     * none.
+     * The most urgent priority (lowest number) that a request to @p service can have, by its rules and by the
+     * workspaces whose priority replaces that of a rule; the least urgent if no request can reach the service.
      */
     std::uint32_t mostUrgentPriority(std::string_view service) const;
 
--- a/libs/fleet/src/ruletable.cpp
+++ b/libs/fleet/src/ruletable.cpp
@@ -5,9 +5,52 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <optional>
 
 namespace cardamomdeck {
 
+namespace {
+
+/** Priorities of requests that need a key. */
+struct workspace_priorities
+{
+    /** Most urgent priority of the workspaces that have one. */
+    std::optional<std::uint32_t> own;
+    /** Some requests have the priority of their rule. */
+    bool ofRule = false;
+};
+
+workspace_priorities prioritiesOf(const traffic_config &config)
+{
+    workspace_priorities priorities;
+    priorities.ofRule = !config.requiresKeys;
+    for (const auto &[name, owner] : config.workspaces) {
+        if (owner.keys.empty()) {
+            continue;
+        }
+        if (owner.priority) {
+            priorities.own = std::min(priorities.own.value_or(*owner.priority), *owner.priority);
+        } else {
+            priorities.ofRule = true;
+        }
+    }
+    return priorities;
+}
+
+std::uint32_t mostUrgent(const traffic_rule &rule, const workspace_priorities &workspaces)
+{
+    std::uint32_t priority = std::numeric_limits<std::uint32_t>::max();
+    if (rule.anonymous || workspaces.ofRule) {
+        priority = rule.priority;
+    }
+    if (!rule.anonymous && workspaces.own) {
+        priority = std::min(priority, *workspaces.own);
+    }
+    return priority;
+}
+
+}
+
 rule_table::rule_table()
     : rule_table(std::make_shared<traffic_config>())
 {
@@ -16,14 +59,16 @@
 rule_table::rule_table(traffic_config_ptr config)
     : m_config(std::move(config))
 {
+    const workspace_priorities workspaces = prioritiesOf(*m_config);
     for (const traffic_rule &rule : m_config->rules) {
         host_rules &rules = m_hosts[absl::AsciiStrToLower(rule.host)];
         rules.byPrefix.try_emplace(rule.pathPrefix, &rule);
         rules.prefixLengths.push_back(rule.pathPrefix.size());
         m_names.try_emplace(rule.name, &rule);
+        const std::uint32_t mostUrgentOfRule = mostUrgent(rule, workspaces);
         for (const weighted_service &weighted : rule.services) {
-            const auto [priority, added] = m_priorities.try_emplace(weighted.service, rule.priority);
-            priority->second = std::min(priority->second, rule.priority);
+            const auto [priority, added] = m_priorities.try_emplace(weighted.service, mostUrgentOfRule);
+            priority->second = std::min(priority->second, mostUrgentOfRule);
         }
     }
     for (auto &[host, rules] : m_hosts) {
--- a/libs/http/include/cardamomdeck/http/httpserver.h
+++ b/libs/http/include/cardamomdeck/http/httpserver.h
@@ -59,7 +59,7 @@
 /**
  * Accepts connections and serves all of them on one executor. Pipelined
  * requests are served concurrently, up to maxPipelineDepth; responses are
- * written in the order of the requests.
+ * written in the order of the requests. Trailers of requests are dropped.
  */
 class http_server
 {
--- a/libs/http/src/serverconnection.cpp
+++ b/libs/http/src/serverconnection.cpp
@@ -249,6 +249,12 @@
             co_return false;
         }
     }
+    // Beast adds trailers to the header, where they would count as what the caller sent before the body (RFC 9110,
+    // 6.5.1). Only chunked bodies have trailers.
+    std::optional<http::fields> header;
+    if (parser.chunked()) {
+        header = parser.get();
+    }
     while (!parser.is_done()) {
         if (!reserveBodyMemory(parser, memory)) {
             reject(result_code::memory_short);
@@ -267,6 +273,9 @@
         }
         enterReadPhase(read_phase::body);
     }
+    if (header) {
+        parser.get().http::fields::operator=(*std::move(header));
+    }
     co_return true;
 }
 
