--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -91,6 +91,7 @@
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
     }
+    m_dataPlane.authorizer().appendMetrics(text);
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
     appendMetric(text, "members_alive", "", static_cast<double>(state.members().alive(now).size()));
