--- a/libs/http/tests/servertest.cpp
+++ b/libs/http/tests/servertest.cpp
@@ -306,6 +306,39 @@
     }
 }
 
+TestSuite(trailers_of_requests);
+
+namespace {
+
+/** Responds with the names and values of the header. */
+asio::awaitable<http_response> echoHeader(http_request &request, http_exchange &)
+{
+    std::string text = std::string(request.method_string()) + " " + std::string(request.target()) + ";";
+    for (const auto &field : request) {
+        text += std::string(field.name_string()) + "=" + std::string(field.value()) + ";";
+    }
+    co_return makeResponse(200, text + request.body());
+}
+
+}
+
+// Guards against fields after the body that count as the caller's header, such as a second host or a forged identity.
+Test(trailers_of_requests, are_dropped_and_the_header_is_kept)
+{
+    for (const std::string trailers : {"", "A: forged\r\n", "B: new\r\na: x\r\nHost: b\r\nA: y\r\n"}) {
+        server_fixture fixture(echoHeader);
+        tcp::socket caller = fixture.connect("PUT /t HTTP/1.1\r\nHost: a\r\nA: 1\r\nTransfer-Encoding: chunked\r\n"
+                                             "Trailer: A, B\r\n\r\n4\r\nbody\r\n0\r\n"
+                                             + trailers + "\r\n" + makePost("next"));
+        fixture.run();
+        const std::string responses = server_fixture::received(caller);
+        const std::string expected = "PUT /t;Host=a;A=1;Transfer-Encoding=chunked;Trailer=A, B;body";
+        cr_assert_neq(
+            responses.find("\r\n\r\n" + expected + "HTTP/1.1 200"), std::string::npos, "%s", responses.c_str());
+        cr_assert(responses.ends_with("POST /;Host=a;Content-Length=4;next"), "%s", responses.c_str());
+    }
+}
+
 TestSuite(full_pipeline);
 
 // Guards against a close that is noticed only after a response: a connection with a full pipeline was not read.
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -3,8 +3,9 @@
  * Stand-in for a backend server: executes requests in slots, queues the others
  * and counts the executions.
  *
- * GET /load returns the load, GET /counts returns the counters, and POST
- * /control changes the behavior:
+ * GET /load returns the load, GET /counts returns the counters, GET /headers
+ * returns the headers of the most recent requests, and POST /control changes
+ * the behavior:
  *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late" |
  *             "unsealed" | "cut",
  *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N,
@@ -37,6 +38,7 @@
 #include <cmath>
 #include <cstdint>
 #include <cstdio>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,6 +62,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds slotPollPeriod{1};
 constexpr milliseconds freezeDuration{600'000};
+constexpr std::size_t maxRecordedHeaders = 1000;
 
 /** Arrival of a request; with a pause if it was rejected with one. */
 struct arrival
@@ -110,6 +113,9 @@
         if (target == "/counts") {
             co_return counts();
         }
+        if (target == "/headers") {
+            co_return makeResponse(200, json(m_headers).dump(-1, ' ', false, json::error_handler_t::replace));
+        }
         if (target == "/health") {
             ++m_probes;
             co_return withServerHeaders(makeResponse(m_draining ? 503 : 200, "{}"));
@@ -125,8 +131,22 @@
         co_return co_await execute(request, exchange);
     }
 
+    /** Records the headers of @p request as a list of names and values. */
+    void recordHeaders(const http_request &request)
+    {
+        json fields = json::array();
+        for (const auto &field : request) {
+            fields.push_back(json::array({std::string(field.name_string()), std::string(field.value())}));
+        }
+        m_headers.push_back(std::move(fields));
+        if (m_headers.size() > maxRecordedHeaders) {
+            m_headers.pop_front();
+        }
+    }
+
     asio::awaitable<http_response> execute(http_request &request, http_exchange &exchange)
     {
+        recordHeaders(request);
         m_arrivals.push_back(
             {std::string(request["Attempt-Id"]), toMilliseconds(steady::now().time_since_epoch()), ""});
         if (m_mode == "fail_fast") {
@@ -267,6 +287,7 @@
     std::map<std::string, std::uint32_t> m_executionsById;
     /** All requests, including rejected ones, in the order of their arrival. */
     std::vector<arrival> m_arrivals;
+    std::deque<json> m_headers;
     http_server m_server;
 };
 
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -39,8 +39,8 @@
         answer = ask(self.address, "GET", f"/v1/log-newest?topic={topic}&part=0")
         return [item["key"] for item in answer.json["items"]] if answer.status == 200 else []
 
-    def put_config(self, version, routes, **limits):
-        self.write("keyed.op", "config", {
+    def put_config(self, version, routes, tenants=None, **limits):
+        self.write("keyed.op", "config", ({} if tenants is None else {"tenants": tenants}) | {
             "config_version": f"{version:08x}",
             "routes": routes,
             "services": {"lots": {"health_path": "/health", "max_conns": 220},
@@ -79,7 +79,7 @@
 class PlatformEntry(Process):
     """An entry; all entries of a fleet use the same ports, so each has its own loopback address."""
 
-    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a"):
+    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a", more_settings=""):
         self.memory_mb = 160
         self.host = host
         self.traffic, self.readiness, self.resolver, self.api = (f"{host}:{port}" for port in ports[:4])
@@ -104,6 +104,7 @@
 link_mbps = 1000.0
 [platform]
 address = "{store.address}"
+{more_settings}
 """)
         super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}"], directory)
 
@@ -131,8 +132,8 @@
 class PlatformFleet:
     """Entries, backend servers and the store; ends all of them."""
 
-    def __init__(self, directory, entries=2, seeds=("127.0.1.1",)):
-        self.directory, self.seeds = directory, seeds
+    def __init__(self, directory, entries=2, seeds=("127.0.1.1",), more_settings=""):
+        self.directory, self.seeds, self.more_settings = directory, seeds, more_settings
         self.store = Store(directory)
         # Fleets that run in parallel use the same addresses, so they need different ports. The last of the five ports
         # is the lower one of the two internal ports.
@@ -147,7 +148,7 @@
         for previous in self.entries[number:number + 1]:
             previous.end()
         entry = PlatformEntry(f"entry-{number}", self.directory, self.store, f"127.0.1.{number + 1}", self.ports,
-                              seeds=self.seeds)
+                              seeds=self.seeds, more_settings=self.more_settings)
         self.entries[number:number + 1] = [entry]
         return entry
 
