--- a/libs/dispatch/include/cardamomdeck/dispatch/backendchoice.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/backendchoice.h
@@ -41,6 +41,8 @@
     double remainingMs = 0;
     /** Mean slowdown of the service's backend servers. */
     double averageSlowdown = 1.0;
+    /** Cost in milliseconds of a server in another zone; none for a fixed share of the objective. */
+    std::optional<double> crossingCostMs = std::nullopt;
 };
 
 /** A chosen candidate and its expected latency. */
--- a/libs/dispatch/src/backendchoice.cpp
+++ b/libs/dispatch/src/backendchoice.cpp
@@ -52,7 +52,9 @@
         const backend_candidate &candidate = candidates[i];
         bool slotFree = false;
         const double latencyMs = expectedLatencyMs(candidate, request, &slotFree);
-        const double zoneCost = candidate.sameZone ? 0.0 : crossZoneCostShare * request.latencyObjectiveMs;
+        const double zoneCost = candidate.sameZone
+                                    ? 0.0
+                                    : request.crossingCostMs.value_or(crossZoneCostShare * request.latencyObjectiveMs);
         // Random tie-breaking keeps entries from all choosing the same server.
         const double tieBreak = randomUnit(random) * 0.01 * request.serviceTimes.requestMs;
         const double cost
