fleet: optional field of the heartbeat for the loads of zones

Entries that let requests leave their zone need the load of the other zones before they send anything there, and that of their own from all its entries.

A heartbeat may end with a map of optional fields by name; "loads" holds zones with the age of the report and the utilization by service. The map is absent while it has no content, so messages of fleets that do not use it are the same, and entries of earlier versions ignore it.

--- a/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
@@ -9,6 +9,7 @@
 #include "cardamomdeck/fleet/backendregistry.h"
 #include "cardamomdeck/fleet/confighistory.h"
 #include "cardamomdeck/fleet/membertable.h"
+#include "cardamomdeck/fleet/zoneloadreport.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -61,6 +62,8 @@
     bool relayed = false;
     /** position.lastBackendChangeOffset is an upper bound, see backend_registry::hasOnlyInitialListing(). */
     bool onlyInitialListing = false;
+    /** Loads of zones; empty while zone_overflow is off. */
+    std::vector<zone_load_report> zoneLoads;
 
     bool operator==(const heartbeat_message &) const = default;
 };
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -194,6 +194,40 @@
             fields.at(3).get<std::vector<std::string>>()};
 }
 
+/**
+ * Optional fields of a heartbeat by name, which follow the fields that are always sent. Entries of earlier versions
+ * ignore them, and each is absent while it has no content.
+ */
+constexpr std::size_t firstOptionalField = 8;
+constexpr const char *zoneLoadsField = "loads";
+
+json toJson(const std::vector<zone_load_report> &reports)
+{
+    json zones = json::object();
+    for (const zone_load_report &report : reports) {
+        zones[report.zone] = json::array({report.age.count(), report.percentByService});
+    }
+    return zones;
+}
+
+std::vector<zone_load_report> zoneLoadsFromJson(const json &zones)
+{
+    std::vector<zone_load_report> reports;
+    for (const auto &[zone, fields] : zones.items()) {
+        reports.push_back({zone, ageFromJson(fields.at(0)), fields.at(1).get<std::map<std::string, std::uint32_t>>()});
+    }
+    return reports;
+}
+
+void decodeOptionalFields(const json &fields, heartbeat_message &heartbeat)
+{
+    for (std::size_t i = firstOptionalField; i < fields.size(); ++i) {
+        if (fields[i].is_object() && fields[i].contains(zoneLoadsField)) {
+            heartbeat.zoneLoads = zoneLoadsFromJson(fields[i][zoneLoadsField]);
+        }
+    }
+}
+
 std::string pack(const json &message)
 {
     std::string bytes;
@@ -236,14 +270,22 @@
         changes.push_back(heartbeat.changes->afterOffset.has_value());
     }
     const json age = heartbeat.viewAge ? json(heartbeat.viewAge->count()) : json();
-    return pack(json::array({toJson(heartbeat.sender),
-                             toJson(heartbeat.position),
-                             age,
-                             heartbeat.liveMembers,
-                             gossipList,
-                             changes,
-                             heartbeat.relayed,
-                             heartbeat.onlyInitialListing}));
+    json fields = json::array({toJson(heartbeat.sender),
+                               toJson(heartbeat.position),
+                               age,
+                               heartbeat.liveMembers,
+                               gossipList,
+                               changes,
+                               heartbeat.relayed,
+                               heartbeat.onlyInitialListing});
+    json optionalFields = json::object();
+    if (!heartbeat.zoneLoads.empty()) {
+        optionalFields[zoneLoadsField] = toJson(heartbeat.zoneLoads);
+    }
+    if (!optionalFields.empty()) {
+        fields.push_back(optionalFields);
+    }
+    return pack(fields);
 }
 
 std::string encode(const view_request &request)
@@ -284,6 +326,7 @@
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
+        decodeOptionalFields(fields, heartbeat);
         return heartbeat;
     });
 }
