dispatch: leave a zone whose servers do not respond; hold shares longer

A request whose probes were not answered by any server of its zone stayed there: decide() looked at the share before it asked whether the zone had a server.

The share then swung by more than 0.2 with a wave of 13 s; it is now kept for half of such a wave, 6.5 s, instead of 5 s.

--- a/libs/dispatch/include/cardamomdeck/dispatch/zoneoverflow.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/zoneoverflow.h
@@ -128,6 +128,7 @@
 private:
     /** Sets the shares that were sent to each zone. */
     void setSentShares(overflow_inputs &inputs, time_point now) const;
+    leave_decision leaveWithoutServer(random_source &random) const;
     leave_decision leaveByShare(const overflow_request &request, random_source &random) const;
     std::string chooseZoneWithRoom(random_source &random) const;
     /** True if the expected gain of crossing is larger than @p costMs. */
--- a/libs/dispatch/src/zoneoverflow.cpp
+++ b/libs/dispatch/src/zoneoverflow.cpp
@@ -142,10 +142,15 @@
     return {leave_reason::shortage, zone, costMs, true};
 }
 
+leave_decision zone_overflow::leaveWithoutServer(random_source &random) const
+{
+    return {leave_reason::no_server, m_controller.chooseZone(random).value_or(""), m_cost.addedMs, false};
+}
+
 leave_decision zone_overflow::decideFirst(const overflow_request &request, random_source &random) const
 {
     if (!request.hasHomeServer) {
-        return {leave_reason::no_server, m_controller.chooseZone(random).value_or(""), m_cost.addedMs, false};
+        return leaveWithoutServer(random);
     }
     const std::optional<zone_load> &home = m_state.inputs.home.load;
     const bool isBusy = home && home->utilization >= zone_share_controller::startUtilization;
@@ -154,6 +159,10 @@
 
 leave_decision zone_overflow::decide(const overflow_request &request, random_source &random) const
 {
+    if (!request.hasHomeServer) {
+        // Servers that were probed in the meantime did not respond.
+        return leaveWithoutServer(random);
+    }
     const leave_decision byShare = leaveByShare(request, random);
     if (byShare.mayLeave()) {
         return byShare;
--- a/libs/dispatch/src/zoneshares.cpp
+++ b/libs/dispatch/src/zoneshares.cpp
@@ -18,8 +18,8 @@
 /** Largest fall per update if the helping zones become busy; they must not be worse off. */
 constexpr double maxWithdrawal = 0.05;
 
-/** Time for which a share is kept after the shortage was last that large; most of the trough of a wave of 13 s. */
-constexpr milliseconds holdTime{5000};
+/** Time for which a share is kept after the shortage was last that large: half of a wave of 13 s. */
+constexpr milliseconds holdTime{6500};
 
 /** Share of a zone's room that one zone takes per update; others may be about to use the rest. */
 constexpr double roomShare = 0.3;
--- a/libs/dispatch/tests/zoneoverflowtest.cpp
+++ b/libs/dispatch/tests/zoneoverflowtest.cpp
@@ -136,6 +136,8 @@
     request.hasHomeServer = false;
     const leave_decision expected{leave_reason::no_server, "b", 3.0, false};
     cr_assert(fixture.decideFirst(request) == expected);
+    // Also if this is known only after its servers have not responded to probes.
+    cr_assert_eq(fixture.shareOf(request, leave_reason::no_server), 1.0);
     cr_assert_eq(fixture.overflow.state().share, 1.0);
     cr_assert_eq(fixture.overflow.state().shareByRule.at("large"), 1.0);
 }
