--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -295,6 +295,24 @@
     return 0;
 }
 
+/** Prints nothing for an entry of an earlier version. */
+void printZoneOverflow(const json &overflow)
+{
+    if (overflow.empty()) {
+        return;
+    }
+    std::cout << "  zone_overflow " << overflow["mode"].get<std::string>() << " cross_zone_cost_per_mb_ms "
+              << overflow["cross_zone_cost_per_mb_ms"] << "\n";
+    for (const json &service : overflow["services"]) {
+        std::cout << "    service " << service["service"] << " share " << service["share"] << " home "
+                  << service["home"].get<std::string>();
+        for (const auto &[zone, capacity] : service["zones"].items()) {
+            std::cout << " " << zone << " " << capacity.get<std::string>();
+        }
+        std::cout << "\n";
+    }
+}
+
 int fleet(const std::vector<std::string> & /*arguments*/)
 {
     const api_response apiResponse = sendApiRequest(http::verb::get, "/v1/fleet");
@@ -305,6 +323,7 @@
         std::cout << "entry " << body["entry"] << " config " << body["config_version"] << " view "
                   << body["view_age_ms"] << " ms old, store "
                   << (body["store_available"].get<bool>() ? "reachable" : "unreachable") << "\n";
+        printZoneOverflow(body.value("zone_overflow", json::object()));
         for (const json &member : body["members"]) {
             std::cout << "  member " << member["name"] << " " << (member["ready"].get<bool>() ? "ready" : "not ready")
                       << "\n";
--- a/daemon/entrysettings.cpp
+++ b/daemon/entrysettings.cpp
@@ -24,6 +24,15 @@
           "",
           "Settings file that a platform writes (TOML). Its values replace all other flags.");
 ABSL_FLAG(std::int64_t, metrics_port, 0, "With --settings: additional port for operators, 0 to 65535. 0: none.");
+ABSL_FLAG(std::string,
+          zone_overflow,
+          "off",
+          "With --settings: 'on' lets the share of requests leave the availability zone that it lacks servers for; "
+          "'off' uses a fixed cost for other zones.");
+ABSL_FLAG(double,
+          cross_zone_cost_per_mb_ms,
+          cardamomdeck::overflow_settings::defaultCostPerMbMs,
+          "With --zone_overflow=on: milliseconds of latency that one megabyte across zones is worth, 0 to 100000.");
 ABSL_FLAG(bool, check, false, "Check the settings, print errors, and exit.");
 ABSL_FLAG(std::string, log_level, "INFO", "Minimum log level: INFO, WARN or OFF.");
 
@@ -37,6 +46,7 @@
 constexpr std::int64_t maxMemoryMb = 1'048'576;
 constexpr std::int64_t maxRecordsPerSnapshot = 1'000'000;
 constexpr std::int64_t maxPercent = 100;
+constexpr double maxCostPerMbMs = 100'000;
 
 /** Validates single settings and collects the errors. */
 class settings_validator
@@ -80,6 +90,18 @@
         return value;
     }
 
+    overflow_settings overflow(const std::string &mode, double costPerMbMs)
+    {
+        if (mode != "on" && mode != "off") {
+            m_errors.emplace_back("zone_overflow must be on or off");
+        }
+        // Written so that NaN is rejected.
+        if (!(costPerMbMs >= 0 && costPerMbMs <= maxCostPerMbMs)) {
+            m_errors.emplace_back("cross_zone_cost_per_mb_ms must be from 0 to 100000");
+        }
+        return {mode == "on", costPerMbMs};
+    }
+
     std::vector<socket_address> addresses(const std::string &flag, const std::string &value)
     {
         const auto parsed = parseSocketAddressList(value);
@@ -129,6 +151,8 @@
                                               "trace_file",
                                               "settings",
                                               "metrics_port",
+                                              "zone_overflow",
+                                              "cross_zone_cost_per_mb_ms",
                                               "check",
                                               "log_level"});
     if (absl::ParseCommandLine(argc, argv).size() > 1) {
@@ -141,6 +165,8 @@
     constexpr std::int64_t maxPort = 65'535;
     settings.metricsPort
         = static_cast<std::uint16_t>(validator.number("metrics_port", absl::GetFlag(FLAGS_metrics_port), 0, maxPort));
+    settings.zoneOverflow
+        = validator.overflow(absl::GetFlag(FLAGS_zone_overflow), absl::GetFlag(FLAGS_cross_zone_cost_per_mb_ms));
     settings.logLevel = validator.level(absl::GetFlag(FLAGS_log_level));
     if (!settings.platformSettingsFile.empty()) {
         return parsedSettings;
--- a/daemon/entrysettings.h
+++ b/daemon/entrysettings.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "gateway/overflowsettings.h"
+
 #include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/base/socketaddress.h"
 
@@ -42,7 +44,12 @@
     bool checkOnly = false;
     /** Additional port for operators when platformSettingsFile is set; 0 for none. */
     std::uint16_t metricsPort = 0;
-    /** Platform settings file. When it is set, only metricsPort, logLevel and checkOnly are used besides it. */
+    /** Requests that leave the availability zone; used when platformSettingsFile is set. */
+    overflow_settings zoneOverflow;
+    /**
+     * Platform settings file. When it is set, only metricsPort, zoneOverflow, logLevel and checkOnly are used besides
+     * it.
+     */
     std::string platformSettingsFile;
 
     bool operator==(const entry_settings &) const = default;
--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -91,6 +91,9 @@
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
     }
+    if (m_dataPlane.overflow() != nullptr) {
+        m_dataPlane.overflow()->appendMetrics(text);
+    }
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
     appendMetric(text, "members_alive", "", static_cast<double>(state.members().alive(now).size()));
@@ -119,14 +122,15 @@
         }
     }
     const view_position position = state.position();
-    const json body = {{"entry", state.members().self().name},
-                       {"config_version", position.configVersion},
-                       {"backends_changed_at",
-                        position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
-                       {"view_age_ms", toMilliseconds(now - state.freshAt())},
-                       {"store_available", m_controlPlane.isStoreAvailable()},
-                       {"members", members},
-                       {"backends", backends}};
+    const json body
+        = {{"entry", state.members().self().name},
+           {"config_version", position.configVersion},
+           {"backends_changed_at", position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
+           {"view_age_ms", toMilliseconds(now - state.freshAt())},
+           {"store_available", m_controlPlane.isStoreAvailable()},
+           {"zone_overflow", json::parse(overflowJson(m_dataPlane.overflowSettings(), m_dataPlane.services()))},
+           {"members", members},
+           {"backends", backends}};
     return body.dump();
 }
 
--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -192,6 +192,7 @@
         return;
     }
     const time_point now = steady::now();
+    m_zoneLoads.handle(heartbeat);
     const fleet_state::heartbeat_result result = m_state.applyHeartbeat(heartbeat, now);
     if (result.shouldRequestView && m_pendingViewRequests == 0) {
         const auto pendingGuard = std::make_shared<count_guard<unsigned>>(m_pendingViewRequests);
@@ -322,9 +323,9 @@
         sameZoneHosts = m_settings.seedHosts;
         std::erase(sameZoneHosts, m_settings.host);
     }
-    m_transport.sendHeartbeat(m_state.heartbeat(now), sameZoneHosts);
+    m_transport.sendHeartbeat(m_zoneLoads.withLoads(m_state.heartbeat(now), false), sameZoneHosts);
     if (!crossZoneHosts.empty()) {
-        m_transport.sendHeartbeat(m_state.crossZoneHeartbeat(now), crossZoneHosts);
+        m_transport.sendHeartbeat(m_zoneLoads.withLoads(m_state.crossZoneHeartbeat(now), true), crossZoneHosts);
     }
 }
 
--- a/daemon/gateway/controlplane.h
+++ b/daemon/gateway/controlplane.h
@@ -8,6 +8,7 @@
 #include "viewupdaterelay.h"
 #include "peertransport.h"
 #include "storereader.h"
+#include "zoneloadexchange.h"
 
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/base/suspension.h"
@@ -23,6 +24,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cardamomdeck {
@@ -41,6 +43,12 @@
     /** Starts to listen for peers and to read the store. Errors: port_in_use. */
     result_code start();
 
+    /** Sets the source and the receiver of the zone loads in heartbeats. */
+    void setZoneLoadExchange(zone_load_exchange exchange)
+    {
+        m_zoneLoads = std::move(exchange);
+    }
+
     /** Announces the shutdown of this entry to its peers and removes it from the store. */
     void startShutdown();
 
@@ -91,6 +99,7 @@
     member_registry m_memberRegistry;
     boost::asio::steady_timer m_readTimer;
     fleet_view_ptr m_publishedView;
+    zone_load_exchange m_zoneLoads;
     pause_detector m_pauseDetector;
     /** View requests to peers that are in flight; at most one. */
     unsigned m_pendingViewRequests = 0;
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -71,6 +71,7 @@
 
 data_plane::data_plane(asio::io_context &context,
                        const platform::platform_settings &settings,
+                       overflow_settings overflow,
                        stale_view_check isViewPossiblyStale)
     : m_settings(settings)
     , m_random(std::random_device()())
@@ -82,6 +83,10 @@
     , m_services(settings.vmName,
                  {settings.fleetLimits.retryWindow, settings.fleetLimits.retryRatio, settings.fleetLimits.retryReserve},
                  settings.fleetLimits.maxProbesPerSecond)
+    , m_overflowSettings(overflow)
+    , m_overflow(overflow.enabled
+                     ? std::make_unique<zone_overflow_table>(settings.zone, overflow, m_services.services(), m_random)
+                     : nullptr)
     , m_trafficServer(
           context.get_executor(),
           [this](http_request &request, http_exchange &exchange) { return handleRequest(request, exchange); },
@@ -97,6 +102,7 @@
     , m_view(std::make_shared<fleet_view>())
     , m_entryResolver(settings.vmName)
 {
+    m_forwardingContext.overflow = m_overflow.get();
 }
 
 result_code data_plane::start()
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -9,6 +9,7 @@
 #include "requestforwarder.h"
 #include "requesthistory.h"
 #include "servicestate.h"
+#include "zoneoverflowtable.h"
 
 #include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/randomsource.h"
@@ -25,6 +26,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace cardamomdeck {
@@ -38,6 +40,7 @@
 
     data_plane(boost::asio::io_context &context,
                const platform::platform_settings &settings,
+               overflow_settings overflow,
                stale_view_check isViewPossiblyStale);
 
     /** Binds the traffic, readiness and resolver ports. Errors: port_in_use. */
@@ -76,6 +79,17 @@
     /** Log lines of the most recent requests. */
     const request_history &history() const;
 
+    /** Decisions about leaving the zone; null while zone_overflow is off. */
+    zone_overflow_table *overflow() const
+    {
+        return m_overflow.get();
+    }
+
+    const overflow_settings &overflowSettings() const
+    {
+        return m_overflowSettings;
+    }
+
 private:
     boost::asio::awaitable<http_response> handleRequest(http_request &request, http_exchange &exchange);
     boost::asio::awaitable<http_response> handlePlatformRequest(http_request &request);
@@ -108,6 +122,8 @@
     backend_prober m_prober;
     forwarding_context m_forwardingContext;
     service_table m_services;
+    overflow_settings m_overflowSettings;
+    std::unique_ptr<zone_overflow_table> m_overflow;
     http_server m_trafficServer;
     http_server m_readinessServer;
     http_server m_resolverServer;
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -23,6 +23,8 @@
 
 namespace cardamomdeck {
 
+class zone_overflow_table;
+
 /** Context shared by all requests of an entry. */
 struct forwarding_context
 {
@@ -34,6 +36,8 @@
     /** Memory budget for the bodies of all requests and responses. */
     byte_budget &bodyMemory;
     std::string zone;
+    /** Null while zone_overflow is off. */
+    zone_overflow_table *overflow = nullptr;
 };
 
 /** A request with the data that its forwarding depends on. */
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -45,14 +45,29 @@
 
 gateway_daemon::gateway_daemon(platform::platform_settings settings,
                                std::string settingsFile,
-                               std::uint16_t metricsPort)
+                               std::uint16_t metricsPort,
+                               overflow_settings overflow)
     : m_settings(std::move(settings))
     , m_settingsFile(std::move(settingsFile))
     , m_metricsPort(metricsPort)
-    , m_dataPlane(m_context, m_settings, [this] { return m_controlPlane.isViewPossiblyStale(); })
+    , m_dataPlane(m_context, m_settings, overflow, [this] { return m_controlPlane.isViewPossiblyStale(); })
     , m_controlPlane(m_context, m_settings, [this](const fleet_view_ptr &view) { m_dataPlane.applyView(view); })
     , m_adminServer(m_context, m_dataPlane, m_controlPlane)
 {
+    connectZoneLoads();
+}
+
+void gateway_daemon::connectZoneLoads()
+{
+    zone_overflow_table *const overflow = m_dataPlane.overflow();
+    if (overflow == nullptr) {
+        return;
+    }
+    m_controlPlane.setZoneLoadExchange(
+        {[overflow](bool toOtherZones) { return overflow->reports(toOtherZones, steady::now()); },
+         [overflow](const heartbeat_message &heartbeat) {
+             overflow->applyReports(heartbeat, steady::now());
+         }});
 }
 
 result_code gateway_daemon::startAdminServer()
--- a/daemon/gateway/gatewaydaemon.h
+++ b/daemon/gateway/gatewaydaemon.h
@@ -22,8 +22,14 @@
 class gateway_daemon
 {
 public:
-    /** @p settings were read from @p settingsFile; @p metricsPort is an additional port for operators, or 0. */
-    gateway_daemon(platform::platform_settings settings, std::string settingsFile, std::uint16_t metricsPort);
+    /**
+     * @p settings were read from @p settingsFile; @p metricsPort is an additional port for operators, or 0.
+     * @p overflow are the settings for requests that leave the zone.
+     */
+    gateway_daemon(platform::platform_settings settings,
+                   std::string settingsFile,
+                   std::uint16_t metricsPort,
+                   overflow_settings overflow);
 
     /** Runs until SIGTERM or SIGINT; returns the exit code of the process. */
     int run();
@@ -34,6 +40,8 @@
     boost::asio::awaitable<void> watchSettings();
     void reloadSettings(const char *reason);
     result_code startAdminServer();
+    /** Lets the entries exchange the loads of zones, while zone_overflow is on. */
+    void connectZoneLoads();
 
     platform::platform_settings m_settings;
     std::string m_settingsFile;
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -135,6 +135,7 @@
     }
     const std::uint32_t number = m_attempts.start();
     ++m_request.service->metrics.attempts;
+    m_selector.recordSent(*chosen);
     m_triedBackends.insert(chosen->backend->server.id);
     m_lastBackend = chosen->backend->server.id;
     m_expectedLatencyMs = chosen->choice.expectedLatencyMs;
@@ -217,6 +218,7 @@
         result
             = co_await connection->exchange(std::move(message), responseLimits, m_request.deadline, std::move(rules));
         updateAvailability(*backend, result);
+        m_selector.recordExchange(chosen, result);
         m_context.announcements.releaseConnection(*backend, connection);
     }
     std::erase_if(m_inFlightAttempts,
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -65,6 +65,8 @@
 
 using backend_state_ptr = std::shared_ptr<backend_state>;
 
+struct service_overflow;
+
 /** State of one service at this entry. */
 struct service_state
 {
@@ -89,6 +91,8 @@
     std::map<std::string, moving_average> ruleServiceTimeMs;
     /** Consecutive probe responses without a load report; probing stops when there are too many. */
     std::uint32_t probesWithoutLoad = 0;
+    /** Null while zone_overflow is off. */
+    std::shared_ptr<service_overflow> overflow;
 
     service_metrics metrics;
 };
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -184,7 +184,8 @@
             if (settings.checkOnly) {
                 return 0;
             }
-            gateway_daemon daemon(platformSettings, settings.platformSettingsFile, settings.metricsPort);
+            gateway_daemon daemon(
+                platformSettings, settings.platformSettingsFile, settings.metricsPort, settings.zoneOverflow);
             return daemon.run();
         },
         [](const failure &error) {
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -79,7 +79,7 @@
 class PlatformEntry(Process):
     """An entry; all entries of a fleet use the same ports, so each has its own loopback address."""
 
-    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a"):
+    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a", flags=()):
         self.memory_mb = 160
         self.host = host
         self.traffic, self.readiness, self.resolver, self.api = (f"{host}:{port}" for port in ports[:4])
@@ -105,7 +105,7 @@
 [platform]
 address = "{store.address}"
 """)
-        super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}"], directory)
+        super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}", *flags], directory)
 
     def ready(self):
         return ask(self.readiness, "GET", "/v1/ready", timeout=1).status == 200
