--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -79,7 +79,7 @@
 class PlatformEntry(Process):
     """An entry; all entries of a fleet use the same ports, so each has its own loopback address."""
 
-    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a", more_settings=""):
+    def __init__(self, name, directory, store, host, ports, seeds=(), zone="zone-a", more_settings="", flags=()):
         self.memory_mb = 160
         self.host = host
         self.traffic, self.readiness, self.resolver, self.api = (f"{host}:{port}" for port in ports[:4])
@@ -106,7 +106,7 @@
 address = "{store.address}"
 {more_settings}
 """)
-        super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}"], directory)
+        super().__init__(name, [BIN / "cardamomdeckd", f"--settings={self.settings_path}", *flags], directory)
 
     def ready(self):
         return ask(self.readiness, "GET", "/v1/ready", timeout=1).status == 200
