fleet, gateway: evacuate availability zones

Cause: operators could not take an availability zone out of use at once; each server had to be drained on its own, and servers that registered later were used.

Change: the key evacuate/ZONE in the topic of the configuration evacuates the zone until its removal. evacuation_table merges the records by their position in the topic, ended ones included, and a complete listing ends what it lacks. The whole table is the last field of heartbeats, view responses and view updates, absent while it is empty, so that no message makes a view count as fresh without it. A read that changes only evacuations is announced at once, also while another entry relays an update. If tables contradict each other, and at the first own read of an entry, the topic is listed: the position of an entry may have been moved past a record by entries that did not know it.

Servers of evacuated zones are neither listed as candidates nor probed nor sent to. The last check, right before sending, now waits up to 0.2 s for a confirmed view after a pause of the process, as new requests do already. Without another server requests are rejected at once with backends_withheld, and their Retry-After is spread over half of its length; retryDelay() alone gave all callers the same one, because their deadlines limit it.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -305,6 +305,9 @@
         std::cout << "entry " << body["entry"] << " config " << body["config_version"] << " view "
                   << body["view_age_ms"] << " ms old, store "
                   << (body["store_available"].get<bool>() ? "reachable" : "unreachable") << "\n";
+        for (const json &zone : body.value("evacuated_zones", json::array())) {
+            std::cout << "  zone " << zone["zone"] << " evacuated, offset " << zone["offset"] << "\n";
+        }
         for (const json &member : body["members"]) {
             std::cout << "  member " << member["name"] << " " << (member["ready"].get<bool>() ? "ready" : "not ready")
                       << "\n";
--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -1,5 +1,6 @@
 #include "adminserver.h"
 
+#include "evacuationreport.h"
 #include "trafficmetrics.h"
 
 #include "cardamomdeck/base/logline.h"
@@ -15,8 +16,11 @@
 
 constexpr std::string_view requestPrefix = "/v1/requests/";
 
-std::string_view stateName(const backend_state &backend, time_point now)
+std::string_view stateName(const backend_state &backend, const zone_set &evacuatedZones, time_point now)
 {
+    if (evacuatedZones.contains(backend.server.zone)) {
+        return "evacuated";
+    }
     if (backend.availability->leavingSince() || backend.availability->needsProbe()) {
         return "leaving";
     }
@@ -32,13 +36,16 @@
     return backend.server.warmupEndsAt > now ? "warming_up" : "ready";
 }
 
-json backendJson(const backend_state &backend, const std::string &service, time_point now)
+json backendJson(const backend_state &backend,
+                 const std::string &service,
+                 const zone_set &evacuatedZones,
+                 time_point now)
 {
     return {{"name", backend.server.id},
             {"service", service},
             {"zone", backend.server.zone},
             {"address", toString(backend.server.address)},
-            {"state", stateName(backend, now)},
+            {"state", stateName(backend, evacuatedZones, now)},
             {"failure_share", backend.health.failureRate(now)},
             {"in_flight", backend.inFlight},
             {"sent", backend.sentRequests}};
@@ -83,16 +90,18 @@
 {
     const time_point now = steady::now();
     const fleet_state &state = m_controlPlane.state();
+    const zone_set_ptr evacuatedZones = state.evacuations().evacuatedZones();
     std::string text;
     for (const auto &[name, service] : m_dataPlane.services()) {
         service->metrics.append(text, name);
-        const withheld_backends withheld = withheldBackends(*service, now);
+        const withheld_backends withheld = withheldBackends(*service, *evacuatedZones, now);
         const std::string label = "service=\"" + name + "\"";
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
     }
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
+    appendEvacuationMetrics(text, state.evacuations());
     appendMetric(text, "members_alive", "", static_cast<double>(state.members().alive(now).size()));
     appendMetric(text, "store_calls_total", "", static_cast<double>(m_controlPlane.storeCalls()));
     appendMetric(text, "requests_in_hand", "", static_cast<double>(m_dataPlane.requestsInFlight()));
@@ -112,22 +121,25 @@
     for (const fleet_member &member : state.members().alive(now)) {
         members.push_back({{"name", member.name}, {"zone", member.zone}, {"ready", member.ready}});
     }
+    const zone_set_ptr evacuatedZones = state.evacuations().evacuatedZones();
     json backends = json::array();
     for (const auto &[name, service] : m_dataPlane.services()) {
         for (const auto &[id, backend] : service->backends) {
-            backends.push_back(backendJson(*backend, name, now));
+            backends.push_back(backendJson(*backend, name, *evacuatedZones, now));
         }
     }
     const view_position position = state.position();
-    const json body = {{"entry", state.members().self().name},
-                       {"config_version", position.configVersion},
-                       {"backends_changed_at",
-                        position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
-                       {"view_age_ms", toMilliseconds(now - state.freshAt())},
-                       {"store_available", m_controlPlane.isStoreAvailable()},
-                       {"members", members},
-                       {"backends", backends}};
-    return body.dump();
+    const json body
+        = {{"entry", state.members().self().name},
+           {"config_version", position.configVersion},
+           {"backends_changed_at", position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
+           {"view_age_ms", toMilliseconds(now - state.freshAt())},
+           {"store_available", m_controlPlane.isStoreAvailable()},
+           {"evacuated_zones", evacuationsJson(state.evacuations())},
+           {"members", members},
+           {"backends", backends}};
+    // Names from peers are not checked to be text.
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }
--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -43,7 +43,8 @@
     std::vector<backend_state_ptr> backends;
     for (const auto &[id, backend] : m_request.service->backends) {
         const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && backend->isUsable(now) && !m_triedBackends.contains(id)) {
+        const bool isUsable = backend->isUsable(now) && !m_context.isEvacuated(*backend);
+        if (inZone == sameZone && isUsable && !m_triedBackends.contains(id)) {
             backends.push_back(backend);
         }
     }
@@ -75,7 +76,7 @@
         = co_await m_context.prober.probe(m_request.service, std::move(probed), round.stragglerTimeout, deadline);
     const time_point now = steady::now();
     for (probe_result &result : results) {
-        if (!result.backend->availability->isAvailable(now)) {
+        if (!result.backend->availability->isAvailable(now) || m_context.isEvacuated(*result.backend)) {
             if (result.connection) {
                 m_context.announcements.releaseConnection(*result.backend, result.connection);
             }
--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -83,6 +83,7 @@
           [this](bool available) { recordStoreAvailability(available, "members"); },
           [this] { sendToAllPeers(m_state.basicHeartbeat(steady::now())); })
     , m_readTimer(context)
+    , m_evacuationLog(settings)
     , m_pauseDetector(steady::now())
 {
     m_transport.onHeartbeat([this](const heartbeat_message &heartbeat) { handleHeartbeat(heartbeat); });
@@ -153,8 +154,9 @@
             .add("config", position.configVersion)
             .add("backends_changed_at", textOf(position.lastBackendChangeOffset))
             .info();
-        publish();
+        publishNews("store");
     }
+    m_evacuationLog.recordDropped(storeRead.evacuations, m_state.evacuations());
     if (!complete && !changed) {
         co_return;
     }
@@ -199,6 +201,9 @@
             return requestViewFromPeer(heartbeat, freshAt);
         });
     }
+    if (result.evacuationsChanged) {
+        publishNews(heartbeat.sender.name);
+    }
     if (result.viewChanged) {
         log_line("view_changed")
             .add("source", heartbeat.sender.name)
@@ -237,7 +242,7 @@
             .add("config", m_state.position().configVersion)
             .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
             .info();
-        publish();
+        publishNews("relay");
     }
 }
 
@@ -287,7 +292,7 @@
     if (m_state.members().self().ready != wasReady) {
         announceReady();
     }
-    publish();
+    publishNews(heartbeat.sender.name);
 }
 
 void control_plane::announceReady()
@@ -373,6 +378,12 @@
     m_publishView(view);
 }
 
+void control_plane::publishNews(std::string_view source)
+{
+    m_evacuationLog.recordChanges(m_state.evacuations(), source);
+    publish();
+}
+
 void control_plane::startShutdown()
 {
     m_state.startShutdown();
--- a/daemon/gateway/controlplane.h
+++ b/daemon/gateway/controlplane.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "evacuationreport.h"
 #include "memberregistry.h"
 #include "viewupdaterelay.h"
 #include "peertransport.h"
@@ -23,6 +24,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomdeck {
@@ -73,6 +75,8 @@
     void sendHeartbeat();
     void recordStoreAvailability(bool available, const char *part);
     void publish();
+    /** Publishes a view with news from @p source, and logs changes of evacuations. */
+    void publishNews(std::string_view source);
     /**
      * Returns true if this process was paused since the last call; then drops the datagrams that were queued meanwhile
      * and marks the view as possibly stale.
@@ -91,6 +95,7 @@
     member_registry m_memberRegistry;
     boost::asio::steady_timer m_readTimer;
     fleet_view_ptr m_publishedView;
+    evacuation_log m_evacuationLog;
     pause_detector m_pauseDetector;
     /** View requests to peers that are in flight; at most one. */
     unsigned m_pendingViewRequests = 0;
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -21,9 +21,6 @@
 /** Maximum number of pipelined requests per connection that are served concurrently. */
 constexpr std::size_t pipelineDepth = 16;
 
-/** Polling interval of requests that wait for a current view after a pause of this process. */
-constexpr milliseconds viewCheckPeriod{5};
-
 /** Retry-After delay in responses while this entry cannot serve requests. */
 constexpr milliseconds unavailableRetryAfter{100};
 
@@ -78,7 +75,14 @@
     , m_pool(context.get_executor())
     , m_announcements(m_pool, m_random)
     , m_prober(context, m_pool, m_announcements)
-    , m_forwardingContext{context, m_pool, m_prober, m_announcements, m_random, m_bodyMemory, settings.zone}
+    , m_forwardingContext{context,
+                          m_pool,
+                          m_prober,
+                          m_announcements,
+                          m_random,
+                          m_bodyMemory,
+                          settings.zone,
+                          std::move(isViewPossiblyStale)}
     , m_services(settings.vmName,
                  {settings.fleetLimits.retryWindow, settings.fleetLimits.retryRatio, settings.fleetLimits.retryReserve},
                  settings.fleetLimits.maxProbesPerSecond)
@@ -93,7 +97,6 @@
     , m_resolverServer(context.get_executor(),
                        [this](http_request &request, http_exchange &) { return handlePlatformRequest(request); },
                        {})
-    , m_isViewPossiblyStale(std::move(isViewPossiblyStale))
     , m_view(std::make_shared<fleet_view>())
     , m_entryResolver(settings.vmName)
 {
@@ -131,7 +134,7 @@
     for (const auto &[name, service] : m_services.services()) {
         std::vector<backend_state_ptr> backends;
         for (const auto &[id, backend] : service->backends) {
-            if (backend->availability->needsProbe()) {
+            if (backend->availability->needsProbe() && !m_forwardingContext.isEvacuated(*backend)) {
                 log_line("backend_probed_first")
                     .add("backend", id)
                     .add("started_unix_ms", backend->server.startUnixMs)
@@ -167,6 +170,7 @@
     m_view = view;
     m_entryResolver.setReady(view->ready, steady::now());
     m_services.applyView(*view);
+    m_forwardingContext.evacuatedZones = view->evacuatedZones;
     if (!configChanged) {
         return;
     }
@@ -299,17 +303,10 @@
     return position->second.next();
 }
 
-asio::awaitable<void> data_plane::awaitCurrentView()
-{
-    while (m_isViewPossiblyStale()) {
-        co_await sleepUntil(steady::now() + viewCheckPeriod);
-    }
-}
-
 asio::awaitable<http_response> data_plane::handleRequest(http_request &request, http_exchange &exchange)
 {
     const time_point arrivedAt = steady::now();
-    co_await awaitCurrentView();
+    co_await awaitCurrentView(m_forwardingContext);
     const std::uint64_t version = m_view->config->version;
     if (version == 0 || m_rejectingRequests) {
         co_return rejectUnsentRequest(request, version == 0 ? result_code::view_stale : result_code::overloaded);
@@ -355,6 +352,9 @@
     if (outcome.withheld != withheld_backends()) {
         line.add("backends_leaving", outcome.withheld.leaving).add("backends_paused", outcome.withheld.paused);
     }
+    if (outcome.withheld.evacuated > 0) {
+        line.add("backends_evacuated", outcome.withheld.evacuated);
+    }
     line.info();
     forwarder.request().service->metrics.requestEnded(outcome.code, durationMs);
     m_history.add({forwarder.request().id, line.text()});
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -91,8 +91,6 @@
     /** Probes servers that accept requests only after a probe; see backend_availability::needsProbe(). */
     void probeRestartedBackends();
     boost::asio::awaitable<void> probeRestarted(service_state_ptr service, std::vector<backend_state_ptr> backends);
-    /** Waits, for a short time at most, until the view is no longer possibly stale after a pause of this process. */
-    boost::asio::awaitable<void> awaitCurrentView();
     http_response makeAddressResponse(const caller_location &location);
     http_response makeErrorResponse(result_code code, milliseconds retryAfter) const;
     http_response rejectUnparsedRequest(result_code code) const;
@@ -111,7 +109,6 @@
     http_server m_trafficServer;
     http_server m_readinessServer;
     http_server m_resolverServer;
-    stale_view_check m_isViewPossiblyStale;
     fleet_view_ptr m_view;
     entry_resolver m_entryResolver;
     rule_table m_rules;
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -12,13 +12,16 @@
 #include "cardamomdeck/base/bytebudget.h"
 #include "cardamomdeck/base/randomsource.h"
 #include "cardamomdeck/dispatch/backendchoice.h"
+#include "cardamomdeck/fleet/evacuationtable.h"
 #include "cardamomdeck/fleet/ruletable.h"
 #include "cardamomdeck/http/httpconnection.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace cardamomdeck {
@@ -34,8 +37,18 @@
     /** Memory budget for the bodies of all requests and responses. */
     byte_budget &bodyMemory;
     std::string zone;
+    /** True while the view may be stale after a pause of this process; see awaitCurrentView(). */
+    std::function<bool()> isViewPossiblyStale;
+    /** Zones whose servers get no requests, according to the current view; never null. */
+    zone_set_ptr evacuatedZones = std::make_shared<const zone_set>();
+
+    /** True if @p backend gets no requests because its zone is evacuated. */
+    bool isEvacuated(const backend_state &backend) const;
 };
 
+/** Waits, for a short time at most, until the view is no longer possibly stale after a pause of this process. */
+boost::asio::awaitable<void> awaitCurrentView(const forwarding_context &context);
+
 /** A request with the data that its forwarding depends on. */
 struct forwarded_request
 {
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -178,9 +178,11 @@
 {
     const backend_state_ptr backend = chosen.backend;
     connection_ptr connection = chosen.connection;
-    if (!connection && backend->availability->isAvailable(steady::now())) {
+    if (!connection && backend->availability->isAvailable(steady::now()) && !m_context.isEvacuated(*backend)) {
         connection = co_await openConnection(backend);
     }
+    // The process may have been paused while the server was chosen, and the zone evacuated meanwhile.
+    co_await awaitCurrentView(m_context);
     if (m_finished) {
         if (connection) {
             m_context.announcements.releaseConnection(*backend, connection);
@@ -191,8 +193,8 @@
     subtractSuspension();
     const time_point startedAt = steady::now();
     const auto remaining = std::chrono::floor<milliseconds>(m_request.deadline - startedAt);
-    // The server may have announced something since it was chosen.
-    const bool withheld = !backend->availability->isAvailable(startedAt);
+    // The server may have announced something since it was chosen, or its zone may have been evacuated.
+    const bool withheld = !backend->availability->isAvailable(startedAt) || m_context.isEvacuated(*backend);
     if (withheld || !connection || remaining <= milliseconds(0)) {
         result.code = withheld ? result_code::backends_withheld : result_code::connect_failed;
         if (connection) {
@@ -313,7 +315,7 @@
 void request_forwarder::considerWithheldBackends()
 {
     const time_point now = steady::now();
-    m_outcome.withheld = withheldBackends(*m_request.service, now);
+    m_outcome.withheld = withheldBackends(*m_request.service, *m_context.evacuatedZones, now);
     if (m_outcome.withheld == withheld_backends()) {
         return;
     }
@@ -325,6 +327,8 @@
         const auto untilEnd = std::chrono::ceil<milliseconds>(*m_outcome.withheld.earliestEnd - now);
         m_outcome.retryAfter
             = retryDelayAfterPause(untilEnd, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
+    } else if (m_outcome.withheld.evacuated > 0) {
+        m_outcome.retryAfter = spreadRetryDelay(m_outcome.retryAfter, m_context.random);
     }
 }
 
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -25,12 +25,14 @@
 
 }
 
-withheld_backends withheldBackends(const service_state &service, time_point now)
+withheld_backends withheldBackends(const service_state &service, const zone_set &evacuatedZones, time_point now)
 {
     withheld_backends withheld;
     for (const auto &[id, backend] : service.backends) {
         const auto pausedUntil = backend->availability->pausedUntil(now);
-        if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
+        if (evacuatedZones.contains(backend->server.zone)) {
+            ++withheld.evacuated;
+        } else if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
             ++withheld.leaving;
         } else if (pausedUntil) {
             ++withheld.paused;
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -95,20 +95,22 @@
 
 using service_state_ptr = std::shared_ptr<service_state>;
 
-/** Servers of a service that accept no requests of this entry because of their own announcements. */
+/** Servers of a service that get no requests of this entry, by their own announcements or because of an evacuation. */
 struct withheld_backends
 {
     /** Including those that need a probe first, because it may be their announcement. */
     std::size_t leaving = 0;
     std::size_t paused = 0;
+    /** In evacuated zones; these are not among the others. */
+    std::size_t evacuated = 0;
     /** Earliest end of a pause. */
     std::optional<time_point> earliestEnd;
 
     bool operator==(const withheld_backends &) const = default;
 };
 
-/** The servers of @p service that accept no requests at @p now because of their own announcements. */
-withheld_backends withheldBackends(const service_state &service, time_point now);
+/** The servers of @p service that get no requests at @p now; those in @p evacuatedZones are counted apart. */
+withheld_backends withheldBackends(const service_state &service, const zone_set &evacuatedZones, time_point now);
 
 /** All services; kept current with the view of the fleet. */
 class service_table
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -2,10 +2,12 @@
 
 #include "decodeorlog.h"
 
+#include "cardamomdeck/platform/evacuationcodec.h"
 #include "cardamomdeck/platform/recordcodec.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace cardamomdeck {
@@ -26,21 +28,55 @@
         = co_await (readConfig(storeRead, deadline) && readBackends(storeRead, deadline));
 }
 
+namespace {
+
+/** Appends the record of the evacuation with the key @p key, if that names a zone; logs it otherwise. */
+void addEvacuation(std::vector<evacuation_record> &evacuations,
+                   const std::string &key,
+                   store_offset offset,
+                   bool exists)
+{
+    if (!platform::isEvacuationKey(key)) {
+        return;
+    }
+    if (auto zone = decodeOrLog("record_rejected", key, [&] { return platform::decodeEvacuatedZone(key); })) {
+        evacuations.push_back({std::move(*zone), {0, offset}, exists});
+    }
+}
+
+/** The evacuations in @p topicRead. A value that cannot be read evacuates too: only the removal of the key ends it. */
+std::vector<evacuation_record> decodeEvacuations(const platform::keyed_read_result &topicRead)
+{
+    std::vector<evacuation_record> evacuations;
+    for (const platform::keyed_record &item : topicRead.records) {
+        addEvacuation(evacuations, item.key, item.offset, item.value && !item.value->empty());
+    }
+    for (const std::string &key : topicRead.unreadableKeys) {
+        // The offset is not known; the record is one of those before the end of the listing.
+        addEvacuation(evacuations, key, topicRead.nextOffset - std::min<store_offset>(topicRead.nextOffset, 1), true);
+    }
+    return evacuations;
+}
+
+}
+
 asio::awaitable<bool> store_reader::readConfig(store_read_result &storeRead, time_point deadline)
 {
     const view_position position = m_state.position();
     platform::keyed_read_result topicRead;
     topicRead.code = result_code::offset_expired;
-    if (position.configVersion > 0) {
+    if (position.configVersion > 0 && !m_state.evacuations().needsListing()) {
         topicRead = co_await m_store.readFrom(store_topic::operator_config, position.configEndOffset, deadline);
     }
     if (topicRead.code == result_code::offset_expired) {
         topicRead = co_await m_store.readNewest(store_topic::operator_config, deadline);
+        storeRead.completeConfigListing = true;
     }
     if (topicRead.code != result_code::ok) {
         co_return false;
     }
     storeRead.configEndOffset = topicRead.nextOffset;
+    storeRead.evacuations = decodeEvacuations(topicRead);
     for (const platform::keyed_record &item : topicRead.records) {
         if (item.key != platform::configKey || !item.value) {
             continue;
--- a/daemon/gateway/storereader.h
+++ b/daemon/gateway/storereader.h
@@ -12,8 +12,9 @@
 namespace cardamomdeck {
 
 /**
- * Reads the configuration and the backend servers from the end offset of the entry's view, or lists them completely if
- * there is no view yet or that offset has expired.
+ * Reads the configuration with the evacuations, and the backend servers, from the end offset of the entry's view, or
+ * lists them completely if there is no view yet or that offset has expired. The configuration is also listed when
+ * evacuation_table::needsListing().
  */
 class store_reader
 {
--- a/libs/dispatch/include/cardamomdeck/dispatch/admission.h
+++ b/libs/dispatch/include/cardamomdeck/dispatch/admission.h
@@ -34,6 +34,12 @@
  */
 milliseconds retryDelay(double latencyMs, const choice_request &request, random_source &random);
 
+/**
+ * Shortens @p delay by a random part of up to a half. Where retryDelay() is limited by the callers' deadlines, it is
+ * the same for all of them; if they are rejected because a zone is evacuated, they would return together.
+ */
+milliseconds spreadRetryDelay(milliseconds delay, random_source &random);
+
 /**
  * Delay after which a caller may retry when all servers are paused; the first pause ends after @p untilEnd. Callers
  * return spread over some time after it, those with requests of @p mostUrgentPriority first.
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -38,6 +38,12 @@
     return milliseconds(std::max<std::int64_t>(1, std::llround(delayMs)));
 }
 
+milliseconds spreadRetryDelay(milliseconds delay, random_source &random)
+{
+    const double share = 1.0 - retryJitterShare * randomUnit(random);
+    return milliseconds(std::max<std::int64_t>(1, std::llround(share * static_cast<double>(delay.count()))));
+}
+
 milliseconds retryDelayAfterPause(milliseconds untilEnd,
                                   std::uint32_t priority,
                                   std::uint32_t mostUrgentPriority,
--- a/libs/dispatch/tests/backendchoicetest.cpp
+++ b/libs/dispatch/tests/backendchoicetest.cpp
@@ -150,3 +150,21 @@
     cr_assert_gt(lastUrgent - firstUrgent, milliseconds(100));
     cr_assert_leq(lastUrgent, firstOther);
 }
+
+// Guards against callers that return together after a zone was evacuated: their deadlines limit the delay to one value.
+Test(admission_under_overload, delays_limited_by_the_deadline_are_spread)
+{
+    random_source random(7);
+    const milliseconds limited{660};
+    milliseconds shortest = limited;
+    milliseconds longest{0};
+    for (int i = 0; i < 100; ++i) {
+        const milliseconds delay = spreadRetryDelay(limited, random);
+        shortest = std::min(shortest, delay);
+        longest = std::max(longest, delay);
+    }
+    cr_assert_geq(shortest, limited / 2);
+    cr_assert_leq(longest, limited);
+    cr_assert_gt(longest - shortest, limited / 3);
+    cr_assert_eq(spreadRetryDelay(milliseconds(0), random), milliseconds(1));
+}
--- a/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
@@ -8,6 +8,7 @@
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/fleet/backendregistry.h"
 #include "cardamomdeck/fleet/confighistory.h"
+#include "cardamomdeck/fleet/evacuationtable.h"
 #include "cardamomdeck/fleet/membertable.h"
 
 #include <boost/leaf/result.hpp>
@@ -61,6 +62,8 @@
     bool relayed = false;
     /** position.lastBackendChangeOffset is an upper bound, see backend_registry::hasOnlyInitialListing(). */
     bool onlyInitialListing = false;
+    /** All evacuations that the sender knows, ended ones included; entries of earlier versions send none. */
+    std::vector<evacuation_record> evacuations;
 
     bool operator==(const heartbeat_message &) const = default;
 };
@@ -81,6 +84,8 @@
     std::optional<config_update> config;
     std::vector<backend_record> backends;
     std::vector<fleet_member> members;
+    /** @copydoc heartbeat_message::evacuations */
+    std::vector<evacuation_record> evacuations;
 
     bool operator==(const view_response &) const = default;
 };
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -6,6 +6,7 @@
 
 #include "cardamomdeck/fleet/backendregistry.h"
 #include "cardamomdeck/fleet/confighistory.h"
+#include "cardamomdeck/fleet/evacuationtable.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/fleet/membertable.h"
 #include "cardamomdeck/fleet/fleetmessage.h"
@@ -29,6 +30,10 @@
     /** The newest configuration, if the read returned one. */
     std::optional<config_source> config;
     store_offset configEndOffset = 0;
+    /** Evacuations of the part of the store with the configuration. */
+    std::vector<evacuation_record> evacuations;
+    /** That part was listed completely; evacuations that are not listed have ended. */
+    bool completeConfigListing = false;
     std::vector<backend_record> backends;
     store_offset backendsEndOffset = 0;
     /** The records are a complete listing; servers that are not in it have been removed. */
@@ -75,6 +80,8 @@
         bool memberChanged = false;
         /** The heartbeat carried backend changes that changed the view. */
         bool viewChanged = false;
+        /** The heartbeat changed the evacuated zones; it may come from an entry without a complete view. */
+        bool evacuationsChanged = false;
         /** Known later incarnation of the sender, which must be sent to it; see member_table::laterIncarnation(). */
         std::optional<fleet_member> laterIncarnation;
     };
@@ -133,7 +140,8 @@
 
     /**
      * Announces the changes that a store read has brought after @p before. Returns none while another entry relays an
-     * update; the changes are then part of the next announcement.
+     * update; the changes are then part of the next announcement, except those of evacuations, which are announced at
+     * once.
      */
     std::optional<change_announcement> announceChanges(const view_position &before, time_point now);
 
@@ -178,6 +186,9 @@
     /** True once a complete view has been read or received. */
     bool isComplete() const;
 
+    /** Evacuations of availability zones. */
+    const evacuation_table &evacuations() const;
+
     /** Records that the members have been read from the store. */
     void recordMembershipKnown();
 
@@ -195,6 +206,13 @@
     void updateReadiness();
     void recordFresh(time_point at, time_point now);
     bool applyBackends(const store_read_result &readResult, time_point now);
+    bool applyEvacuations(const store_read_result &readResult);
+    /** Applies the table of a peer with the view @p peerPosition; returns true when the evacuated zones changed. */
+    bool applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition);
+    /** Number of members in a heartbeat that has room for @p maxMembers of them without evacuations. */
+    std::size_t gossipLimit(std::size_t maxMembers) const;
+    /** Announces evacuations alone if a read has changed them, while the changes after @p announced are deferred. */
+    std::optional<change_announcement> announceEvacuations(const view_position &announced, time_point now);
     bool fitsHeartbeat(const std::vector<backend_record> &records) const;
     void confirmAnnouncedView(time_point now);
     bool canBootstrapFrom(milliseconds age) const;
@@ -214,6 +232,9 @@
     /** A delta could not be applied; the next view request is for the full configuration. */
     bool m_fullConfigNeeded = false;
     store_offset m_configEndOffset = 0;
+    evacuation_table m_evacuations;
+    /** A read has changed the evacuated zones, and no announcement has followed. */
+    bool m_evacuationsUnannounced = false;
     bool m_complete = false;
     /** Start of the last failed store read; none if no read has failed. */
     std::optional<time_point> m_failedReadAt;
--- a/libs/fleet/include/cardamomdeck/fleet/fleetview.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetview.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "cardamomdeck/fleet/backendserver.h"
+#include "cardamomdeck/fleet/evacuationtable.h"
 #include "cardamomdeck/fleet/membertable.h"
 #include "cardamomdeck/fleet/trafficconfig.h"
 
@@ -23,6 +24,8 @@
     traffic_config_ptr config = std::make_shared<traffic_config>();
     /** Backend servers that may receive requests; never null. A change of a server replaces the object. */
     backends_by_service_ptr backends = std::make_shared<backends_by_service>();
+    /** Availability zones whose servers get no requests; never null. A change of a zone replaces the object. */
+    zone_set_ptr evacuatedZones = std::make_shared<const zone_set>();
     /** This entry has rules and backend servers and is not shutting down. */
     bool ready = false;
     /** Entries that callers may use. */
--- a/libs/fleet/include/cardamomdeck/fleet/viewresponsecache.h
+++ b/libs/fleet/include/cardamomdeck/fleet/viewresponsecache.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cardamomdeck {
 
@@ -29,6 +30,8 @@
     std::shared_ptr<const std::string> m_fullResponse;
     /** Position of the view in m_fullResponse. */
     view_position m_position;
+    /** Evacuations in m_fullResponse; those from a heartbeat do not change the position. */
+    std::vector<evacuation_record> m_evacuations;
     time_point m_expiresAt;
 };
 
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -1,5 +1,7 @@
 #include "cardamomdeck/fleet/fleetmessage.h"
 
+#include "evacuationencoding.h"
+
 #include "cardamomdeck/base/compression.h"
 #include "cardamomdeck/base/messagenesting.h"
 
@@ -171,8 +173,10 @@
     for (const fleet_member &member : response.members) {
         members.push_back(toJson(member));
     }
-    return json::array(
+    json fields = json::array(
         {toJson(response.position), toJson(response.config), recordsToJson(response.backends, now), members});
+    appendEvacuations(fields, response.evacuations);
+    return fields;
 }
 
 view_response viewResponseFromJson(const json &fields, time_point now)
@@ -184,6 +188,8 @@
     for (const json &member : fields.at(3)) {
         response.members.push_back(memberFromJson(member));
     }
+    constexpr std::size_t evacuationsField = 4;
+    response.evacuations = evacuationsFromJson(fields, evacuationsField);
     return response;
 }
 
@@ -236,14 +242,16 @@
         changes.push_back(heartbeat.changes->afterOffset.has_value());
     }
     const json age = heartbeat.viewAge ? json(heartbeat.viewAge->count()) : json();
-    return pack(json::array({toJson(heartbeat.sender),
-                             toJson(heartbeat.position),
-                             age,
-                             heartbeat.liveMembers,
-                             gossipList,
-                             changes,
-                             heartbeat.relayed,
-                             heartbeat.onlyInitialListing}));
+    json fields = json::array({toJson(heartbeat.sender),
+                               toJson(heartbeat.position),
+                               age,
+                               heartbeat.liveMembers,
+                               gossipList,
+                               changes,
+                               heartbeat.relayed,
+                               heartbeat.onlyInitialListing});
+    appendEvacuations(fields, heartbeat.evacuations);
+    return pack(fields);
 }
 
 std::string encode(const view_request &request)
@@ -284,6 +292,8 @@
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
+        constexpr std::size_t evacuationsField = 8;
+        heartbeat.evacuations = evacuationsFromJson(fields, evacuationsField);
         return heartbeat;
     });
 }
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -72,6 +72,7 @@
         changed = installConfig(*readResult.config);
     }
     if (readResult.configRead) {
+        changed = applyEvacuations(readResult) || changed;
         m_configEndOffset = std::max(m_configEndOffset, readResult.configEndOffset);
     }
     // Records that were read before a later call failed are applied, but do not refresh the view.
@@ -113,6 +114,8 @@
     for (const gossiped_member &gossiped : message.gossipedMembers) {
         m_members.recordGossip(gossiped.member, now - gossiped.age, now);
     }
+    // Before the sender's view can make this one count as fresh.
+    result.evacuationsChanged = applyPeerEvacuations(message.evacuations, message.position);
     if (message.viewAge) {
         result.announcedFreshAt = now - *message.viewAge;
     }
@@ -165,9 +168,9 @@
 
 bool fleet_state::applyViewUpdate(const view_update &update, std::optional<config_source> config, time_point now)
 {
-    bool changed = false;
+    bool changed = applyPeerEvacuations(update.changes.evacuations, update.changes.position);
     if (config) {
-        changed = installConfig(std::move(*config));
+        changed = installConfig(std::move(*config)) || changed;
     }
     // If records before them are missing, applying these would mark the missing ones as received.
     if (m_complete && m_backends.isUpToDateWith(update.basePosition.lastBackendChangeOffset)) {
@@ -189,12 +192,12 @@
         m_members.recordDiscovered(member, now);
     }
     m_membershipKnown = m_membershipKnown || !response.members.empty();
+    bool changed = applyPeerEvacuations(response.evacuations, response.position);
     if (freshAt) {
         recordFresh(*freshAt, now);
     }
-    bool changed = false;
     if (config) {
-        changed = installConfig(std::move(*config));
+        changed = installConfig(std::move(*config)) || changed;
     }
     for (const backend_record &record : response.backends) {
         changed = m_backends.apply(record, now) || changed;
@@ -240,6 +243,7 @@
     response.backends = m_backends.changesSince(
         std::max(request.position.lastBackendChangeOffset.value_or(0), request.position.backendsEndOffset));
     response.members = m_members.alive(now);
+    response.evacuations = m_evacuations.records();
     return response;
 }
 
@@ -250,6 +254,7 @@
     message.position = position();
     message.onlyInitialListing = m_backends.hasOnlyInitialListing();
     message.liveMembers = m_members.countAlive(now);
+    message.evacuations = m_evacuations.records();
     if (m_complete) {
         message.viewAge = std::chrono::ceil<milliseconds>(now - m_schedule.freshAt());
     }
@@ -259,14 +264,15 @@
 heartbeat_message fleet_state::heartbeat(time_point now)
 {
     heartbeat_message periodicMessage = basicHeartbeat(now);
-    periodicMessage.gossipedMembers = m_members.nextGossipedMembers(maxGossipedMembersPerHeartbeat, now);
+    periodicMessage.gossipedMembers = m_members.nextGossipedMembers(gossipLimit(maxGossipedMembersPerHeartbeat), now);
     return periodicMessage;
 }
 
 heartbeat_message fleet_state::crossZoneHeartbeat(time_point now)
 {
     heartbeat_message periodicMessage = basicHeartbeat(now);
-    periodicMessage.gossipedMembers = m_members.nextZoneGossipedMembers(maxGossipedMembersPerCrossZoneHeartbeat, now);
+    periodicMessage.gossipedMembers
+        = m_members.nextZoneGossipedMembers(gossipLimit(maxGossipedMembersPerCrossZoneHeartbeat), now);
     return periodicMessage;
 }
 
@@ -310,10 +316,11 @@
         announcement.heartbeat.relayed = true;
         if (now < m_relayEndsAt && !announcement.update->changes.config) {
             m_unannouncedAfter = after;
-            return std::nullopt;
+            return announceEvacuations(after, now);
         }
     }
     m_unannouncedAfter.reset();
+    m_evacuationsUnannounced = false;
     return announcement;
 }
 
@@ -378,6 +385,7 @@
     auto view = std::make_shared<fleet_view>();
     view->config = m_config;
     view->backends = m_backends.usable();
+    view->evacuatedZones = m_evacuations.evacuatedZones();
     view->ready = m_members.self().ready;
     view->readyMembers = m_members.ready(now);
     view->liveMembers = m_members.countAlive(now);
--- /dev/null
+++ b/libs/fleet/src/fleetstateevacuations.cpp
@@ -0,0 +1,67 @@
+#include "cardamomdeck/fleet/fleetstate.h"
+
+#include <algorithm>
+
+namespace cardamomdeck {
+
+namespace {
+
+/** Approximate size in a message of a gossiped member, and of an evacuation without the name of its zone. */
+constexpr std::size_t gossipedMemberBytes = 60;
+constexpr std::size_t evacuationBytes = 16;
+
+/** Members in a heartbeat however many evacuations there are, so that large fleets still learn of each other. */
+constexpr std::size_t minGossipedMembers = 4;
+
+topic_position configEnd(const view_position &position)
+{
+    return {0, position.configEndOffset};
+}
+
+}
+
+bool fleet_state::applyEvacuations(const store_read_result &readResult)
+{
+    const bool changed
+        = readResult.completeConfigListing
+              ? m_evacuations.applyListing(readResult.evacuations, topic_position{0, readResult.configEndOffset})
+              : m_evacuations.applyRead(readResult.evacuations);
+    m_evacuationsUnannounced = m_evacuationsUnannounced || changed;
+    return changed;
+}
+
+bool fleet_state::applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition)
+{
+    return m_evacuations.applyPeerTable(records, configEnd(peerPosition), configEnd(position()));
+}
+
+std::size_t fleet_state::gossipLimit(std::size_t maxMembers) const
+{
+    std::size_t tableBytes = 0;
+    for (const evacuation_record &record : m_evacuations.records()) {
+        tableBytes += record.zone.size() + evacuationBytes;
+    }
+    const std::size_t displaced = (tableBytes + gossipedMemberBytes - 1) / gossipedMemberBytes;
+    return maxMembers - std::min(displaced, maxMembers - minGossipedMembers);
+}
+
+std::optional<fleet_state::change_announcement> fleet_state::announceEvacuations(const view_position &announced,
+                                                                                 time_point now)
+{
+    if (!m_evacuationsUnannounced) {
+        return std::nullopt;
+    }
+    m_evacuationsUnannounced = false;
+    // With the position and the age of the view, all receivers would request the deferred changes at once.
+    change_announcement announcement{basicHeartbeat(now), std::nullopt};
+    announcement.heartbeat.position = announced;
+    announcement.heartbeat.viewAge.reset();
+    return announcement;
+}
+
+const evacuation_table &fleet_state::evacuations() const
+{
+    return m_evacuations;
+}
+
+}
--- a/tests/system/rawbackend.py
+++ b/tests/system/rawbackend.py
@@ -18,6 +18,7 @@
         self.store, self.name, self.service, self.mode = store, name, service, mode
         self.port = free_port()
         self.requests = []
+        self.probes = 0
         self.open_connections = 0
         self.flooded_connections = 0
         self.health_delay = 0.0
@@ -55,6 +56,7 @@
                 while request := self.read(connection):
                     path, request_id, unread_bytes = request
                     if path == "/health":
+                        self.probes += 1
                         time.sleep(self.health_delay)
                         load = f"Server-Load: 0,0,2,100\r\nInstance-Id: {self.name}\r\n"
                         reply = f"HTTP/1.1 200 OK\r\n{load}Content-Length: 2\r\n\r\n{{}}".encode()
