--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -45,8 +45,9 @@
     std::vector<backend_state_ptr> backends;
     for (const auto &[id, backend] : m_request.service->backends) {
         const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && m_request.zones.allows(backend->server.zone) && backend->isUsable(now)
-            && !m_triedBackends.contains(id)) {
+        const bool isUsable = m_request.zones.allows(backend->server.zone) && backend->isUsable(now)
+                              && !m_context.isEvacuated(*backend);
+        if (inZone == sameZone && isUsable && !m_triedBackends.contains(id)) {
             backends.push_back(backend);
         }
     }
@@ -82,7 +83,7 @@
         if (m_context.overflow != nullptr && result.load) {
             m_context.overflow->recordProbe(service, result.backend->server.zone, *result.load, now);
         }
-        if (!result.backend->availability->isAvailable(now)) {
+        if (!result.backend->availability->isAvailable(now) || m_context.isEvacuated(*result.backend)) {
             if (result.connection) {
                 m_context.announcements.releaseConnection(*result.backend, result.connection);
             }
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -25,7 +25,10 @@
 
 }
 
-withheld_backends withheldBackends(const service_state &service, time_point now, const zone_filter &zones)
+withheld_backends withheldBackends(const service_state &service,
+                                   const zone_set &evacuatedZones,
+                                   time_point now,
+                                   const zone_filter &zones)
 {
     withheld_backends withheld;
     for (const auto &[id, backend] : service.backends) {
@@ -33,7 +36,9 @@
             continue;
         }
         const auto pausedUntil = backend->availability->pausedUntil(now);
-        if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
+        if (evacuatedZones.contains(backend->server.zone)) {
+            ++withheld.evacuated;
+        } else if (backend->availability->leavingSince() || backend->availability->needsProbe()) {
             ++withheld.leaving;
         } else if (pausedUntil) {
             ++withheld.paused;
--- a/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
@@ -8,6 +8,7 @@
 #include "cardamomdeck/base/resultcode.h"
 #include "cardamomdeck/fleet/backendregistry.h"
 #include "cardamomdeck/fleet/confighistory.h"
+#include "cardamomdeck/fleet/evacuationtable.h"
 #include "cardamomdeck/fleet/membertable.h"
 #include "cardamomdeck/fleet/zoneloadreport.h"
 
@@ -64,6 +65,8 @@
     bool onlyInitialListing = false;
     /** Loads of zones; empty while zone_overflow is off. */
     std::vector<zone_load_report> zoneLoads;
+    /** All evacuations that the sender knows, ended ones included; entries of earlier versions send none. */
+    std::vector<evacuation_record> evacuations;
 
     bool operator==(const heartbeat_message &) const = default;
 };
@@ -84,6 +87,8 @@
     std::optional<config_update> config;
     std::vector<backend_record> backends;
     std::vector<fleet_member> members;
+    /** @copydoc heartbeat_message::evacuations */
+    std::vector<evacuation_record> evacuations;
 
     bool operator==(const view_response &) const = default;
 };
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -1,5 +1,7 @@
 #include "cardamomdeck/fleet/fleetmessage.h"
 
+#include "evacuationencoding.h"
+
 #include "cardamomdeck/base/compression.h"
 #include "cardamomdeck/base/messagenesting.h"
 
@@ -171,8 +173,10 @@
     for (const fleet_member &member : response.members) {
         members.push_back(toJson(member));
     }
-    return json::array(
+    json fields = json::array(
         {toJson(response.position), toJson(response.config), recordsToJson(response.backends, now), members});
+    appendEvacuations(fields, response.evacuations);
+    return fields;
 }
 
 view_response viewResponseFromJson(const json &fields, time_point now)
@@ -184,6 +188,8 @@
     for (const json &member : fields.at(3)) {
         response.members.push_back(memberFromJson(member));
     }
+    constexpr std::size_t evacuationsField = 4;
+    response.evacuations = evacuationsFromJson(fields, evacuationsField);
     return response;
 }
 
@@ -278,6 +284,7 @@
                                changes,
                                heartbeat.relayed,
                                heartbeat.onlyInitialListing});
+    appendEvacuations(fields, heartbeat.evacuations);
     json optionalFields = json::object();
     if (!heartbeat.zoneLoads.empty()) {
         optionalFields[zoneLoadsField] = toJson(heartbeat.zoneLoads);
@@ -326,6 +333,8 @@
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
+        constexpr std::size_t evacuationsField = 8;
+        heartbeat.evacuations = evacuationsFromJson(fields, evacuationsField);
         decodeOptionalFields(fields, heartbeat);
         return heartbeat;
     });
