fleet: tell contact with the fleet, and servers that turn cold

Cause: a limit that holds for the sum of all entries needs to know how many entries there are, and whether that knowledge is current. A report of a running server that turns cold again was no change of the view, so it had an effect at no entry.

In services with a rate for cold servers, a report that extends a warm-up by more than the delay of reading counts as a change and reaches all entries. Without such a rate no message is added.

--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,7 +40,8 @@
 
     /**
      * Applies one record. Returns true when a server was added, removed or changed. A new sequence number or warm-up
-     * time alone is no change, and neither is a removal that starts a grace period.
+     * time alone is no change, and neither is a removal that starts a grace period. In a service with a limit for cold
+     * servers it is a change if a server turns cold, see setWarmupLimitedServices().
      */
     bool apply(const backend_record &record, time_point now);
 
@@ -49,6 +51,15 @@
      */
     bool replaceAll(const std::vector<backend_record> &listing, store_offset end, time_point now);
 
+    /** Sets the services whose servers have a limit on their requests while they are cold. */
+    void setWarmupLimitedServices(std::set<std::string> services);
+
+    /**
+     * Minimum time by which a report extends the end of a warm-up for the server to have turned cold again. The end is
+     * counted from when a report is read, up to read_schedule::maxReadAge later than it was written.
+     */
+    static constexpr milliseconds minWarmupExtension{1500};
+
     /** Starts the grace period after a store outage. */
     void recordStoreAvailable(time_point now);
 
@@ -98,8 +109,10 @@
         std::optional<time_point> graceEndsAt;
     };
 
-    bool applyReport(known_backend &known, const backend_server &report);
+    bool applyReport(known_backend &known, const backend_server &report, time_point now);
     bool applyRemoval(known_backend &known, time_point now);
+    /** True if @p next tells that the server @p known of a service with a limit has turned cold again. */
+    bool turnsCold(const backend_server &known, const backend_server &next, time_point now) const;
 
     std::map<std::string, known_backend> m_backends;
     /** Cached result of usable(); null after a change. */
@@ -109,6 +122,7 @@
     std::optional<store_offset> m_lastChangeOffset;
     bool m_onlyInitialListing = false;
     std::optional<time_point> m_graceEndsAt;
+    std::set<std::string> m_warmupLimitedServices;
 };
 
 }
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -6,6 +6,7 @@
 
 #include "cardamomdeck/fleet/backendregistry.h"
 #include "cardamomdeck/fleet/confighistory.h"
+#include "cardamomdeck/fleet/fleetsizeestimate.h"
 #include "cardamomdeck/fleet/fleetview.h"
 #include "cardamomdeck/fleet/membertable.h"
 #include "cardamomdeck/fleet/fleetmessage.h"
@@ -172,6 +173,12 @@
     /** Time at which the view was last known to be complete. */
     time_point freshAt() const;
 
+    /** End of the last pause of this process. */
+    time_point resumedAt() const;
+
+    /** Largest number of entries known recently, see fleet_size_estimate; recorded by expire(). */
+    std::size_t knownEntries(time_point now) const;
+
     /** Position of this view. */
     view_position position() const;
 
@@ -209,6 +216,7 @@
     member_table m_members;
     backend_registry m_backends;
     read_schedule m_schedule;
+    fleet_size_estimate m_sizeEstimate;
     traffic_config_ptr m_config = std::make_shared<traffic_config>();
     config_history m_configHistory;
     /** A delta could not be applied; the next view request is for the full configuration. */
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -17,7 +17,7 @@
     }
     known_backend &known = m_backends[record.id];
     known.offset = record.offset;
-    const bool changed = record.server ? applyReport(known, *record.server) : applyRemoval(known, now);
+    const bool changed = record.server ? applyReport(known, *record.server, now) : applyRemoval(known, now);
     if (changed || known.graceEndsAt) {
         known.lastChangeOffset = record.offset;
         m_lastChangeOffset = std::max(m_lastChangeOffset, known.lastChangeOffset);
@@ -29,7 +29,7 @@
     return changed;
 }
 
-bool backend_registry::applyReport(known_backend &known, const backend_server &report)
+bool backend_registry::applyReport(known_backend &known, const backend_server &report, time_point now)
 {
     const bool isLate = report.startUnixMs < known.lastStartUnixMs
                         || (report.startUnixMs == known.lastStartUnixMs && report.sequence <= known.lastSequence);
@@ -43,7 +43,7 @@
     const bool changed = known.removed || !known.server || known.server->service != next.service
                          || known.server->zone != next.zone || known.server->address != next.address
                          || known.server->slots != next.slots || known.server->draining != next.draining
-                         || known.server->startUnixMs != next.startUnixMs;
+                         || known.server->startUnixMs != next.startUnixMs || turnsCold(*known.server, next, now);
     known.lastStartUnixMs = next.startUnixMs;
     known.lastSequence = next.sequence;
     known.server = std::move(next);
@@ -52,6 +52,22 @@
     return changed;
 }
 
+bool backend_registry::turnsCold(const backend_server &known, const backend_server &next, time_point now) const
+{
+    return next.warmupEndsAt > std::max(now, known.warmupEndsAt + minWarmupExtension)
+           && m_warmupLimitedServices.contains(next.service);
+}
+
+void backend_registry::setWarmupLimitedServices(std::set<std::string> services)
+{
+    if (services == m_warmupLimitedServices) {
+        return;
+    }
+    m_warmupLimitedServices = std::move(services);
+    // Until now, the warm-ups of reports that changed nothing else were of no consequence.
+    m_usable.reset();
+}
+
 bool backend_registry::applyRemoval(known_backend &known, time_point now)
 {
     if (known.removed) {
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -1,6 +1,7 @@
 #include "cardamomdeck/fleet/fleetstate.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cardamomdeck {
 
@@ -23,6 +24,17 @@
     return offset ? *offset + 1 : 0;
 }
 
+std::set<std::string> warmupLimitedServices(const traffic_config &config)
+{
+    std::set<std::string> names;
+    for (const auto &[name, profile] : config.services) {
+        if (profile.warmupRequestsPerSecond > 0) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
 }
 
 fleet_state::fleet_state(fleet_member self)
@@ -37,6 +49,7 @@
     }
     m_configHistory.add(source.config.version, std::move(source.text));
     m_config = std::make_shared<traffic_config>(std::move(source.config));
+    m_backends.setWarmupLimitedServices(warmupLimitedServices(*m_config));
     m_fullConfigNeeded = false;
     return true;
 }
@@ -320,6 +333,7 @@
 bool fleet_state::expire(time_point now)
 {
     m_members.expire(now);
+    m_sizeEstimate.record(m_members.peers().size() + 1, now);
     return m_backends.endGracePeriods(now);
 }
 
@@ -353,6 +367,16 @@
     return m_schedule.freshAt();
 }
 
+time_point fleet_state::resumedAt() const
+{
+    return m_resumedAt;
+}
+
+std::size_t fleet_state::knownEntries(time_point now) const
+{
+    return m_sizeEstimate.entries(now);
+}
+
 view_position fleet_state::position() const
 {
     return {m_config->version, m_configEndOffset, m_backends.lastChangeOffset(), m_backends.endOffset()};
