gateway: limit the requests of all entries to a cold server

Cause: a cold server of a service with warmup_per_s crashes when it gets more requests than it tolerates in a second, and entries treated it as slower only.

Change: each entry draws permits for each cold server from a Poisson process of its share of a rate that keeps the mean five standard deviations below the bound (cold_server_pacer). A permit serves one request within 500 ms; it is used up right before the request is sent, also for retries and hedges. Out of contact, in the first 3 s after the start and after a pause until the view is confirmed, nothing is sent to cold servers. Warmup-Ms of health responses goes before the record (warmup_state). An entry also keeps to its whole part of the bound in 1.25 s, which makes the bound hold for certain in a small fleet. Services without a rate have no such state and are served as before.

--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -26,6 +26,9 @@
     if (backend.avoidedUntil > now) {
         return "avoided";
     }
+    if (backend.isCold(now)) {
+        return "cold";
+    }
     if (backend.health.isSuspect(now)) {
         return "suspect";
     }
@@ -90,6 +93,7 @@
         const std::string label = "service=\"" + name + "\"";
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
+        appendColdMetrics(text, *service, name, now);
     }
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
--- a/daemon/gateway/backendprober.cpp
+++ b/daemon/gateway/backendprober.cpp
@@ -88,6 +88,7 @@
             co_return result;
         }
         ++service->metrics.probes;
+        const time_point sentAt = steady::now();
         response_rules rules;
         rules.match = platform::matchProbe;
         http_request request = platform::makeProbe(service->profile.healthPath, toString(backend->server.address));
@@ -111,6 +112,7 @@
         }
         if (response.backendId == backend->server.id) {
             m_announcements.record(*backend, response.announcement, "probe");
+            recordWarmup(*backend, response, sentAt, steady::now());
             if (!response.announcement.leaving) {
                 backend->availability->recordProbe();
             }
--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -43,7 +43,8 @@
     std::vector<backend_state_ptr> backends;
     for (const auto &[id, backend] : m_request.service->backends) {
         const bool inZone = backend->server.zone == m_context.zone;
-        if (inZone == sameZone && backend->isUsable(now) && !m_triedBackends.contains(id)) {
+        if (inZone == sameZone && backend->isUsable(now) && !m_triedBackends.contains(id)
+            && m_context.coldRequests.isCandidate(*m_request.service, *backend, now)) {
             backends.push_back(backend);
         }
     }
@@ -55,6 +56,13 @@
     for (const std::size_t index : orderCandidates(ranks, m_context.random)) {
         ordered.push_back(backends[index]);
     }
+    // Only one cold server comes first, so that it is compared with others that are probed at the same time.
+    const auto cold = std::ranges::find_if(ordered, [now](const backend_state_ptr &backend) {
+        return backend->isCold(now) && !backend->health.isSuspect(now);
+    });
+    if (cold != ordered.end()) {
+        std::rotate(ordered.begin(), cold, cold + 1);
+    }
     return ordered;
 }
 
@@ -75,7 +83,8 @@
         = co_await m_context.prober.probe(m_request.service, std::move(probed), round.stragglerTimeout, deadline);
     const time_point now = steady::now();
     for (probe_result &result : results) {
-        if (!result.backend->availability->isAvailable(now)) {
+        if (!result.backend->availability->isAvailable(now)
+            || !m_context.coldRequests.isCandidate(service, *result.backend, now)) {
             if (result.connection) {
                 m_context.announcements.releaseConnection(*result.backend, result.connection);
             }
@@ -99,7 +108,7 @@
         candidate.sentSinceReport = static_cast<std::uint32_t>(backend.sentRequests - result.sentBeforeProbe);
         candidate.failureRate = backend.health.failureRate(now);
         candidate.sameZone = backend.server.zone == m_context.zone;
-        candidate.warmingUp = backend.server.warmupEndsAt > now;
+        candidate.warmingUp = backend.limited ? backend.isCold(now) : backend.server.warmupEndsAt > now;
         candidates.push_back(candidate);
     }
     return chooseBackend(candidates, makeChoiceRequest(m_request, now), m_context.random);
@@ -126,7 +135,9 @@
     m_triedBackends = triedBackends;
     m_probeResults.clear();
     std::optional<backend_choice> choice;
-    if (m_request.service->probesWithoutLoad < maxProbesWithoutLoad) {
+    // Servers with a limit while they are cold are probed for that too.
+    const bool hasColdLimit = m_request.service->profile.warmupRequestsPerSecond > 0;
+    if (hasColdLimit || m_request.service->probesWithoutLoad < maxProbesWithoutLoad) {
         std::vector<backend_state_ptr> candidates = usableBackends(true);
         bool candidatesInSameZone = true;
         for (const probe_round &round : probeRounds()) {
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -71,14 +71,23 @@
 
 data_plane::data_plane(asio::io_context &context,
                        const platform::platform_settings &settings,
-                       stale_view_check isViewPossiblyStale)
+                       stale_view_check isViewPossiblyStale,
+                       cold_request_limiter::contact_check contact)
     : m_settings(settings)
     , m_random(std::random_device()())
     , m_bodyMemory(byte_budget::limitFor(settings.resources.memoryBytes))
     , m_pool(context.get_executor())
     , m_announcements(m_pool, m_random)
     , m_prober(context, m_pool, m_announcements)
-    , m_forwardingContext{context, m_pool, m_prober, m_announcements, m_random, m_bodyMemory, settings.zone}
+    , m_coldRequests(settings.fleetLimits.warmUp, std::move(contact), m_random)
+    , m_forwardingContext{context,
+                          m_pool,
+                          m_prober,
+                          m_announcements,
+                          m_random,
+                          m_bodyMemory,
+                          m_coldRequests,
+                          settings.zone}
     , m_services(settings.vmName,
                  {settings.fleetLimits.retryWindow, settings.fleetLimits.retryRatio, settings.fleetLimits.retryReserve},
                  settings.fleetLimits.maxProbesPerSecond)
@@ -353,7 +362,9 @@
         line.add("retry_after_ms", outcome.retryAfter.count());
     }
     if (outcome.withheld != withheld_backends()) {
-        line.add("backends_leaving", outcome.withheld.leaving).add("backends_paused", outcome.withheld.paused);
+        line.add("backends_leaving", outcome.withheld.leaving)
+            .add("backends_paused", outcome.withheld.paused)
+            .add("backends_cold", outcome.withheld.cold);
     }
     line.info();
     forwarder.request().service->metrics.requestEnded(outcome.code, durationMs);
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "backendprober.h"
+#include "coldservers.h"
 #include "connectionpool.h"
 #include "requestforwarder.h"
 #include "requesthistory.h"
@@ -36,9 +37,11 @@
     /** Returns true while the view may be stale after a pause of this process; see awaitCurrentView(). */
     using stale_view_check = std::function<bool()>;
 
+    /** @p contact tells what this entry knows of the fleet, see cold_request_limiter. */
     data_plane(boost::asio::io_context &context,
                const platform::platform_settings &settings,
-               stale_view_check isViewPossiblyStale);
+               stale_view_check isViewPossiblyStale,
+               cold_request_limiter::contact_check contact);
 
     /** Binds the traffic, readiness and resolver ports. Errors: port_in_use. */
     result_code start();
@@ -106,6 +109,7 @@
     connection_pool m_pool;
     announcement_recorder m_announcements;
     backend_prober m_prober;
+    cold_request_limiter m_coldRequests;
     forwarding_context m_forwardingContext;
     service_table m_services;
     http_server m_trafficServer;
--- a/daemon/gateway/forwardedrequest.h
+++ b/daemon/gateway/forwardedrequest.h
@@ -6,6 +6,7 @@
 
 #include "announcementrecorder.h"
 #include "backendprober.h"
+#include "coldservers.h"
 #include "connectionpool.h"
 #include "servicestate.h"
 
@@ -33,6 +34,7 @@
     random_source &random;
     /** Memory budget for the bodies of all requests and responses. */
     byte_budget &bodyMemory;
+    cold_request_limiter &coldRequests;
     std::string zone;
 };
 
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -1,6 +1,7 @@
 #include "gatewaydaemon.h"
 
 #include "cardamomdeck/base/logline.h"
+#include "cardamomdeck/fleet/fleetcontact.h"
 #include "cardamomdeck/http/tasks.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -49,7 +50,15 @@
     : m_settings(std::move(settings))
     , m_settingsFile(std::move(settingsFile))
     , m_metricsPort(metricsPort)
-    , m_dataPlane(m_context, m_settings, [this] { return m_controlPlane.isViewPossiblyStale(); })
+    , m_dataPlane(
+          m_context,
+          m_settings,
+          [this] { return m_controlPlane.isViewPossiblyStale(); },
+          [this] {
+              // Detects a pause that has just ended.
+              m_controlPlane.isViewPossiblyStale();
+              return contactOf(m_controlPlane.state(), steady::now());
+          })
     , m_controlPlane(m_context, m_settings, [this](const fleet_view_ptr &view) { m_dataPlane.applyView(view); })
     , m_adminServer(m_context, m_dataPlane, m_controlPlane)
 {
--- a/daemon/gateway/requestforwarder.cpp
+++ b/daemon/gateway/requestforwarder.cpp
@@ -192,8 +192,11 @@
     const time_point startedAt = steady::now();
     const auto remaining = std::chrono::floor<milliseconds>(m_request.deadline - startedAt);
     // The server may have announced something since it was chosen.
-    const bool withheld = !backend->availability->isAvailable(startedAt);
-    if (withheld || !connection || remaining <= milliseconds(0)) {
+    const bool canSend = connection && remaining > milliseconds(0);
+    const bool withheld
+        = !backend->availability->isAvailable(startedAt)
+          || (canSend && !m_context.coldRequests.tryStartRequest(*m_request.service, *backend, startedAt));
+    if (withheld || !canSend) {
         result.code = withheld ? result_code::backends_withheld : result_code::connect_failed;
         if (connection) {
             m_context.announcements.releaseConnection(*backend, connection);
@@ -236,7 +239,7 @@
     }
     if (result.code == result_code::backends_withheld) {
         m_attempts.cancelUnsent();
-        ++m_request.service->metrics.withheldRequests;
+        m_request.service->metrics.withheldRequests += backend->isCold(now) ? 0 : 1;
         recordAttemptFailure(*backend, result.code, false, m_retryPending || m_attempts.tryReserve());
         return;
     }
@@ -317,11 +320,16 @@
     if (m_outcome.withheld == withheld_backends()) {
         return;
     }
-    ++m_request.service->metrics.withheldRequests;
+    if (m_outcome.withheld.cold > 0) {
+        ++m_request.service->coldRequests.withheld;
+        m_outcome.retryAfter = m_context.coldRequests.retryDelay(*m_request.service, now);
+    } else {
+        ++m_request.service->metrics.withheldRequests;
+    }
     if (m_failedAttempts.empty()) {
         m_failureCode = result_code::backends_withheld;
     }
-    if (m_outcome.withheld.earliestEnd) {
+    if (m_outcome.withheld.earliestEnd && m_outcome.withheld.cold == 0) {
         const auto untilEnd = std::chrono::ceil<milliseconds>(*m_outcome.withheld.earliestEnd - now);
         m_outcome.retryAfter
             = retryDelayAfterPause(untilEnd, m_request.rule->priority, m_request.mostUrgentPriority, m_context.random);
--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -35,6 +35,8 @@
         } else if (pausedUntil) {
             ++withheld.paused;
             withheld.earliestEnd = std::min(withheld.earliestEnd.value_or(*pausedUntil), *pausedUntil);
+        } else if (backend->isCold(now)) {
+            ++withheld.cold;
         }
     }
     return withheld;
@@ -79,8 +81,12 @@
             } else {
                 state = std::make_shared<backend_state>(
                     server, m_entryName, m_availability.find(id, server.startUnixMs, earliestStart(server)));
+                if (existing != service->backends.end()) {
+                    state->limited = existing->second->limited;
+                }
             }
             state->server = server;
+            recordWarmupReport(*state, *service, !keepsState);
         }
         service->backends = std::move(updated);
     }
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "coldservers.h"
 #include "trafficmetrics.h"
 
 #include "cardamomdeck/base/clock.h"
@@ -55,12 +56,20 @@
     /** Receives no requests before this time: it reported itself unhealthy, or its address belongs to another server.
      */
     time_point avoidedUntil;
+    /** Null unless the service limits the requests to cold servers; incarnations of the server share it. */
+    limited_server_ptr limited;
 
     /** Returns true if requests may be sent to the server at @p now. */
     bool isUsable(time_point now) const
     {
         return avoidedUntil <= now && availability->isAvailable(now);
     }
+
+    /** Returns true if the server is cold, and its service limits the requests to cold servers. */
+    bool isCold(time_point now) const
+    {
+        return limited && limited->warmup.isCold(now);
+    }
 };
 
 using backend_state_ptr = std::shared_ptr<backend_state>;
@@ -89,25 +98,28 @@
     std::map<std::string, moving_average> ruleServiceTimeMs;
     /** Consecutive probe responses without a load report; probing stops when there are too many. */
     std::uint32_t probesWithoutLoad = 0;
+    cold_request_counts coldRequests;
 
     service_metrics metrics;
 };
 
 using service_state_ptr = std::shared_ptr<service_state>;
 
-/** Servers of a service that accept no requests of this entry because of their own announcements. */
+/** Servers of a service that accept no requests of this entry because of their own announcements or their warm-up. */
 struct withheld_backends
 {
     /** Including those that need a probe first, because it may be their announcement. */
     std::size_t leaving = 0;
     std::size_t paused = 0;
+    /** Cold servers, to which this entry may send few requests or none. */
+    std::size_t cold = 0;
     /** Earliest end of a pause. */
     std::optional<time_point> earliestEnd;
 
     bool operator==(const withheld_backends &) const = default;
 };
 
-/** The servers of @p service that accept no requests at @p now because of their own announcements. */
+/** The servers of @p service that accept no requests at @p now for these reasons. */
 withheld_backends withheldBackends(const service_state &service, time_point now);
 
 /** All services; kept current with the view of the fleet. */
--- a/libs/base/src/resultcode.cpp
+++ b/libs/base/src/resultcode.cpp
@@ -64,7 +64,7 @@
      "backends_withheld",
      outcome::not_run,
      503,
-     "All backend servers are leaving or have asked for a pause."},
+     "All backend servers are leaving, have asked for a pause or are cold."},
     {result_code::deadline_passed,
      "deadline_passed",
      outcome::unknown,
--- a/standins/backendstandin.cpp
+++ b/standins/backendstandin.cpp
@@ -8,9 +8,10 @@
  *   {"mode": "ok" | "refuse" | "fail_fast" | "freeze" | "answer_late" |
  *             "unsealed" | "cut",
  *    "draining": bool, "service_ms": N, "queue": N, "late_ms": N,
- *    "leaving": bool, "retry_after": TEXT}
+ *    "leaving": bool, "retry_after": TEXT, "warmup_ms": N}
  * With "leaving" every response announces that the server leaves; "retry_after"
- * is the pause that each rejection asks for, empty for none.
+ * is the pause that each rejection asks for, empty for none. With "warmup_ms" it
+ * is cold for this time from now on, and says so in its responses to /health.
  * Any other request waits for a slot, is executed for the service time, and is
  * recorded under its Attempt-Id or x-request-id.
  *
@@ -112,7 +113,12 @@
         }
         if (target == "/health") {
             ++m_probes;
-            co_return withServerHeaders(makeResponse(m_draining ? 503 : 200, "{}"));
+            http_response response = makeResponse(m_draining ? 503 : 200, "{}");
+            const auto warmupLeft = std::chrono::ceil<milliseconds>(m_coldUntil - steady::now());
+            if (warmupLeft > milliseconds(0)) {
+                response.set("Warmup-Ms", std::to_string(warmupLeft.count()));
+            }
+            co_return withServerHeaders(std::move(response));
         }
         const auto expected = request["Expect-Instance"];
         if (!expected.empty() && expected != absl::GetFlag(FLAGS_name)) {
@@ -129,6 +135,9 @@
     {
         m_arrivals.push_back(
             {std::string(request["Attempt-Id"]), toMilliseconds(steady::now().time_since_epoch()), ""});
+        if (steady::now() < m_coldUntil) {
+            m_coldArrivals.push_back(m_arrivals.back().atMs);
+        }
         if (m_mode == "fail_fast") {
             co_return withServerHeaders(makeResponse(500, "{}"));
         }
@@ -205,6 +214,9 @@
         m_serviceMs = command.value("service_ms", m_serviceMs);
         m_maxQueueLength = command.value("queue", m_maxQueueLength);
         m_responseDelay = milliseconds(command.value("late_ms", m_responseDelay.count()));
+        if (command.contains("warmup_ms")) {
+            m_coldUntil = steady::now() + milliseconds(command.value("warmup_ms", std::int64_t{0}));
+        }
         return counts();
     }
 
@@ -227,6 +239,7 @@
                                   {"probes", m_probes},
                                   {"ids", ids},
                                   {"arrivals", arrivals()},
+                                  {"cold_arrivals", m_coldArrivals},
                                   {"runs", executionsById}})
                                 .dump());
     }
@@ -267,6 +280,9 @@
     std::map<std::string, std::uint32_t> m_executionsById;
     /** All requests, including rejected ones, in the order of their arrival. */
     std::vector<arrival> m_arrivals;
+    time_point m_coldUntil;
+    /** Times of the requests that arrived while the server was cold, in milliseconds of the monotonic clock. */
+    std::vector<double> m_coldArrivals;
     http_server m_server;
 };
 
--- a/tests/system/platformfleet.py
+++ b/tests/system/platformfleet.py
@@ -39,12 +39,12 @@
         answer = ask(self.address, "GET", f"/v1/log-newest?topic={topic}&part=0")
         return [item["key"] for item in answer.json["items"]] if answer.status == 200 else []
 
-    def put_config(self, version, routes, **limits):
+    def put_config(self, version, routes, services=None, **limits):
         self.write("keyed.op", "config", {
             "config_version": f"{version:08x}",
             "routes": routes,
             "services": {"lots": {"health_path": "/health", "max_conns": 220},
-                         "desk": {"health_path": "/health", "max_conns": 220}},
+                         "desk": {"health_path": "/health", "max_conns": 220}} | (services or {}),
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_s": 1,
                        "idle_timeout_s": 15} | limits})
 
