--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -30,6 +30,9 @@
     if (backend.avoidedUntil > now) {
         return "avoided";
     }
+    if (backend.isCold(now)) {
+        return "cold";
+    }
     if (backend.health.isSuspect(now)) {
         return "suspect";
     }
@@ -98,6 +101,7 @@
         const std::string label = "service=\"" + name + "\"";
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
+        appendColdMetrics(text, *service, name, now);
     }
     m_dataPlane.authorizer().appendMetrics(text);
     if (m_dataPlane.overflow() != nullptr) {
--- a/daemon/gateway/backendselector.cpp
+++ b/daemon/gateway/backendselector.cpp
@@ -47,7 +47,8 @@
         const bool inZone = backend->server.zone == m_context.zone;
         const bool isUsable = m_request.zones.allows(backend->server.zone) && backend->isUsable(now)
                               && !m_context.isEvacuated(*backend);
-        if (inZone == sameZone && isUsable && !m_triedBackends.contains(id)) {
+        if (inZone == sameZone && isUsable && !m_triedBackends.contains(id)
+            && m_context.coldRequests.isCandidate(*m_request.service, *backend, now)) {
             backends.push_back(backend);
         }
     }
@@ -59,6 +60,13 @@
     for (const std::size_t index : orderCandidates(ranks, m_context.random)) {
         ordered.push_back(backends[index]);
     }
+    // Only one cold server comes first, so that it is compared with others that are probed at the same time.
+    const auto cold = std::ranges::find_if(ordered, [now](const backend_state_ptr &backend) {
+        return backend->isCold(now) && !backend->health.isSuspect(now);
+    });
+    if (cold != ordered.end()) {
+        std::rotate(ordered.begin(), cold, cold + 1);
+    }
     return ordered;
 }
 
@@ -83,7 +91,8 @@
         if (m_context.overflow != nullptr && result.load) {
             m_context.overflow->recordProbe(service, result.backend->server.zone, *result.load, now);
         }
-        if (!result.backend->availability->isAvailable(now) || m_context.isEvacuated(*result.backend)) {
+        if (!result.backend->availability->isAvailable(now) || m_context.isEvacuated(*result.backend)
+            || !m_context.coldRequests.isCandidate(service, *result.backend, now)) {
             if (result.connection) {
                 m_context.announcements.releaseConnection(*result.backend, result.connection);
             }
@@ -107,7 +116,7 @@
         candidate.sentSinceReport = static_cast<std::uint32_t>(backend.sentRequests - result.sentBeforeProbe);
         candidate.failureRate = backend.health.failureRate(now);
         candidate.sameZone = backend.server.zone == m_context.zone;
-        candidate.warmingUp = backend.server.warmupEndsAt > now;
+        candidate.warmingUp = backend.limited ? backend.isCold(now) : backend.server.warmupEndsAt > now;
         candidates.push_back(candidate);
     }
     choice_request request = makeChoiceRequest(m_request, now);
@@ -214,7 +223,9 @@
     m_leave = {};
     m_homeProbes = 0;
     std::optional<backend_choice> choice;
-    if (m_request.service->probesWithoutLoad < maxProbesWithoutLoad) {
+    // Servers with a limit while they are cold are probed for that too.
+    const bool hasColdLimit = m_request.service->profile.warmupRequestsPerSecond > 0;
+    if (hasColdLimit || m_request.service->probesWithoutLoad < maxProbesWithoutLoad) {
         std::vector<backend_state_ptr> candidates = usableBackends(true);
         bool candidatesInSameZone = true;
         m_hasHomeCandidates = !candidates.empty();
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -69,7 +69,8 @@
 data_plane::data_plane(asio::io_context &context,
                        const platform::platform_settings &settings,
                        overflow_settings overflow,
-                       stale_view_check isViewPossiblyStale)
+                       stale_view_check isViewPossiblyStale,
+                       cold_request_limiter::contact_check contact)
     : m_settings(settings)
     , m_zoneRegions(settings.zoneRegions)
     , m_random(std::random_device()())
@@ -77,12 +78,14 @@
     , m_pool(context.get_executor())
     , m_announcements(m_pool, m_random)
     , m_prober(context, m_pool, m_announcements)
+    , m_coldRequests(settings.fleetLimits.warmUp, std::move(contact), m_random)
     , m_forwardingContext{context,
                           m_pool,
                           m_prober,
                           m_announcements,
                           m_random,
                           m_bodyMemory,
+                          m_coldRequests,
                           settings.zone,
                           std::move(isViewPossiblyStale)}
     , m_services(settings.vmName,
@@ -375,7 +378,9 @@
         line.add("retry_after_ms", outcome.retryAfter.count());
     }
     if (outcome.withheld != withheld_backends()) {
-        line.add("backends_leaving", outcome.withheld.leaving).add("backends_paused", outcome.withheld.paused);
+        line.add("backends_leaving", outcome.withheld.leaving)
+            .add("backends_paused", outcome.withheld.paused)
+            .add("backends_cold", outcome.withheld.cold);
     }
     if (outcome.withheld.evacuated > 0) {
         line.add("backends_evacuated", outcome.withheld.evacuated);
--- a/daemon/gateway/servicestate.h
+++ b/daemon/gateway/servicestate.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "coldservers.h"
 #include "trafficmetrics.h"
 
 #include "cardamomdeck/base/clock.h"
@@ -56,12 +57,20 @@
     /** Receives no requests before this time: it reported itself unhealthy, or its address belongs to another server.
      */
     time_point avoidedUntil;
+    /** Null unless the service limits the requests to cold servers; incarnations of the server share it. */
+    limited_server_ptr limited;
 
     /** Returns true if requests may be sent to the server at @p now. */
     bool isUsable(time_point now) const
     {
         return avoidedUntil <= now && availability->isAvailable(now);
     }
+
+    /** Returns true if the server is cold, and its service limits the requests to cold servers. */
+    bool isCold(time_point now) const
+    {
+        return limited && limited->warmup.isCold(now);
+    }
 };
 
 using backend_state_ptr = std::shared_ptr<backend_state>;
@@ -94,13 +103,17 @@
     std::uint32_t probesWithoutLoad = 0;
     /** Null while zone_overflow is off. */
     std::shared_ptr<service_overflow> overflow;
+    cold_request_counts coldRequests;
 
     service_metrics metrics;
 };
 
 using service_state_ptr = std::shared_ptr<service_state>;
 
-/** Servers of a service that get no requests of this entry, by their own announcements or because of an evacuation. */
+/**
+ * Servers of a service that get no requests of this entry, by their own announcements, because of their warm-up, or
+ * because of an evacuation.
+ */
 struct withheld_backends
 {
     /** Including those that need a probe first, because it may be their announcement. */
@@ -108,6 +121,8 @@
     std::size_t paused = 0;
     /** In evacuated zones; these are not among the others. */
     std::size_t evacuated = 0;
+    /** Cold servers, to which this entry may send few requests or none. */
+    std::size_t cold = 0;
     /** Earliest end of a pause. */
     std::optional<time_point> earliestEnd;
 
