fleet: decode evacuations and loads of zones beside each other

Each of the two fields of a heartbeat was decoded as the last one. The list of evacuations stands first; where it is absent, the optional fields stand in its place.

--- a/libs/fleet/src/evacuationencoding.cpp
+++ b/libs/fleet/src/evacuationencoding.cpp
@@ -49,8 +49,7 @@
 std::vector<evacuation_record> evacuationsFromJson(const json &fields, std::size_t index)
 {
     std::vector<evacuation_record> records;
-    // The optional fields of a heartbeat follow as an object.
-    if (fields.size() <= index || fields.at(index).is_object()) {
+    if (fields.size() <= index) {
         return records;
     }
     const json &list = fields.at(index);
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -225,10 +225,16 @@
     return reports;
 }
 
+/** True if the field @p index of a heartbeat holds the optional fields with the loads of zones. */
+bool hasLoads(const json &fields, std::size_t index)
+{
+    return index < fields.size() && fields[index].is_object() && fields[index].contains(zoneLoadsField);
+}
+
 void decodeOptionalFields(const json &fields, heartbeat_message &heartbeat)
 {
     for (std::size_t i = firstOptionalField; i < fields.size(); ++i) {
-        if (fields[i].is_object() && fields[i].contains(zoneLoadsField)) {
+        if (hasLoads(fields, i)) {
             heartbeat.zoneLoads = zoneLoadsFromJson(fields[i][zoneLoadsField]);
         }
     }
@@ -333,8 +339,10 @@
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
-        constexpr std::size_t evacuationsField = 8;
-        heartbeat.evacuations = evacuationsFromJson(fields, evacuationsField);
+        // The list of evacuations is absent while it is empty; the optional fields stand in its place then.
+        if (!hasLoads(fields, firstOptionalField)) {
+            heartbeat.evacuations = evacuationsFromJson(fields, firstOptionalField);
+        }
         decodeOptionalFields(fields, heartbeat);
         return heartbeat;
     });
