--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -7,6 +7,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
@@ -56,9 +60,13 @@
 
 }
 
-admin_server::admin_server(asio::io_context &context, const data_plane &dataPlane, const control_plane &controlPlane)
+admin_server::admin_server(asio::io_context &context,
+                           const data_plane &dataPlane,
+                           const control_plane &controlPlane,
+                           const quota_exchange &quotas)
     : m_dataPlane(dataPlane)
     , m_controlPlane(controlPlane)
+    , m_quotas(quotas)
     , m_apiServer(
           context.get_executor(), [this](http_request &request, http_exchange &) { return handleRequest(request); }, {})
     , m_metricsServer(
@@ -82,9 +90,14 @@
     if (target == "/v1/fleet") {
         co_return makeResponse(200, fleetJson());
     }
+    if (target == "/v1/quotas") {
+        co_return makeResponse(200, quotaJson(m_quotas.status(), m_controlPlane.state().members().self().name).dump());
+    }
     if (target.starts_with(requestPrefix)) {
-        const json logLines = m_dataPlane.history().find(target.substr(requestPrefix.size()));
-        co_return makeResponse(logLines.empty() ? 404 : 200, logLines.dump());
+        const std::string id = target.substr(requestPrefix.size());
+        std::vector<std::string> logLines = m_dataPlane.history().find(id);
+        std::ranges::copy(m_quotas.rejections().find(id), std::back_inserter(logLines));
+        co_return makeResponse(logLines.empty() ? 404 : 200, json(logLines).dump());
     }
     co_return makeResponse(404, "{}");
 }
@@ -107,6 +120,7 @@
     if (m_dataPlane.overflow() != nullptr) {
         m_dataPlane.overflow()->appendMetrics(text);
     }
+    appendQuotaMetrics(text, m_quotas.status());
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
     appendEvacuationMetrics(text, state.evacuations());
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -33,6 +33,8 @@
 
 namespace cardamomdeck {
 
+class quota_exchange;
+
 /** Accepts callers' requests and forwards them to backend servers. */
 class data_plane
 {
@@ -50,6 +52,9 @@
     /** Binds the traffic, readiness and resolver ports. Errors: port_in_use. */
     result_code start();
 
+    /** Sets the quotas that requests are subject to; to be called before start(). */
+    void setQuotas(quota_exchange &quotas);
+
     /** Applies a new view of the fleet. */
     void applyView(const fleet_view_ptr &view);
 
@@ -138,6 +143,7 @@
     http_server m_trafficServer;
     http_server m_readinessServer;
     http_server m_resolverServer;
+    quota_exchange *m_quotas = nullptr;
     fleet_view_ptr m_view;
     entry_resolver m_entryResolver;
     rule_table m_rules;
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -61,9 +61,16 @@
               m_controlPlane.isViewPossiblyStale();
               return contactOf(m_controlPlane.state(), steady::now());
           })
-    , m_controlPlane(m_context, m_settings, [this](const fleet_view_ptr &view) { m_dataPlane.applyView(view); })
-    , m_adminServer(m_context, m_dataPlane, m_controlPlane)
+    , m_controlPlane(m_context,
+                     m_settings,
+                     [this](const fleet_view_ptr &view) {
+                         m_quotas.applyConfig(view->config);
+                         m_dataPlane.applyView(view);
+                     })
+    , m_quotas(m_context, m_settings, m_controlPlane)
+    , m_adminServer(m_context, m_dataPlane, m_controlPlane, m_quotas)
 {
+    m_dataPlane.setQuotas(m_quotas);
     connectZoneLoads();
 }
 
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -49,6 +49,7 @@
     request_incomplete = 311,
     backends_withheld = 312,
     key_unknown = 313,
+    quota_exceeded = 320,
 
     deadline_passed = 400,
     answer_cut = 401,
