--- a/daemon/gateway/servicestate.cpp
+++ b/daemon/gateway/servicestate.cpp
@@ -25,10 +25,8 @@
 
 }
 
-withheld_backends withheldBackends(const service_state &service,
-                                   const zone_set &evacuatedZones,
-                                   time_point now,
-                                   const zone_filter &zones)
+withheld_backends
+withheldBackends(const service_state &service, const zone_set &evacuatedZones, time_point now, const zone_filter &zones)
 {
     withheld_backends withheld;
     for (const auto &[id, backend] : service.backends) {
