gateway: reject requests beyond the quota of their workspace

Cause: quotas of workspaces were read from the configuration and not enforced.

Change: quota_exchange holds and issues tokens over the datagrams of the peer port, with a timer only while a workspace has a limit. The data plane asks it right before a request is forwarded; 429 has the code 320 and Retry-After. A request that has not run returns its token. Metrics, /v1/quotas, cardamomctl quotas, and a log line with the state of the tokens for each rejected request; /v1/requests/ID finds it too. Until requests carry their workspace, the data plane looks it up by key in one function, workspaceOf().

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -59,6 +59,7 @@
       "  cardamomctl status                  state of the entry, its peers and backend servers\n"
       "  cardamomctl explain TRACE           show the spans of a traced request\n"
       "  cardamomctl fleet                   on a platform: the entry's configuration, members and backend servers\n"
+      "  cardamomctl quotas                  on a platform: limits, issuers and tokens of the workspaces\n"
       "  cardamomctl request ID              on a platform: how the entry handled a recent request\n"
       "  cardamomctl evict ENTRY             remove a permanently stopped entry from the membership\n\n"
       "Each flag can also be set by the environment variable CARDAMOMCTL_<FLAG>.\n"
@@ -318,6 +319,25 @@
     return 0;
 }
 
+int quotas(const std::vector<std::string> & /*arguments*/)
+{
+    const api_response apiResponse = sendApiRequest(http::verb::get, "/v1/quotas");
+    if (!isSuccess(apiResponse)) {
+        return reportFailure("quotas", apiResponse);
+    }
+    print(apiResponse.body, [](const json &body) {
+        std::cout << "entry " << body["entry"] << " issues " << body["issued_share"] << " of the limits\n";
+        for (const json &quota : body["workspaces"]) {
+            std::cout << "  workspace " << quota["workspace"] << " limit " << quota["limit_per_s"] << "/s burst "
+                      << quota["burst"] << " issuer " << quota["issuer"] << " bucket " << quota["bucket_tokens"]
+                      << " stock " << quota["stock"] << " demand " << quota["demand_per_s"] << "/s admitted "
+                      << quota["admitted"] << " rejected " << quota["rejected"] << " without issuer "
+                      << quota["fallback"] << " last answer " << quota["answer_age_ms"] << " ms ago\n";
+        }
+    });
+    return 0;
+}
+
 int request(const std::vector<std::string> &arguments)
 {
     const api_response apiResponse = sendApiRequest(http::verb::get, "/v1/requests/" + arguments[0]);
@@ -369,7 +389,7 @@
     int (*run)(const std::vector<std::string> &arguments);
 };
 
-constexpr std::array<subcommand, 12> subcommands = {{{"apply", 1, &apply},
+constexpr std::array<subcommand, 13> subcommands = {{{"apply", 1, &apply},
                                                      {"get", 2, &get},
                                                      {"list", 1, &list},
                                                      {"delete", 2, &remove},
@@ -379,6 +399,7 @@
                                                      {"status", 0, &status},
                                                      {"explain", 1, &explain},
                                                      {"fleet", 0, &fleet},
+                                                     {"quotas", 0, &quotas},
                                                      {"request", 1, &request},
                                                      {"evict", 1, &evict}}};
 
--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -6,6 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
@@ -46,9 +50,13 @@
 
 }
 
-admin_server::admin_server(asio::io_context &context, const data_plane &dataPlane, const control_plane &controlPlane)
+admin_server::admin_server(asio::io_context &context,
+                           const data_plane &dataPlane,
+                           const control_plane &controlPlane,
+                           const quota_exchange &quotas)
     : m_dataPlane(dataPlane)
     , m_controlPlane(controlPlane)
+    , m_quotas(quotas)
     , m_apiServer(
           context.get_executor(), [this](http_request &request, http_exchange &) { return handleRequest(request); }, {})
     , m_metricsServer(
@@ -72,9 +80,14 @@
     if (target == "/v1/fleet") {
         co_return makeResponse(200, fleetJson());
     }
+    if (target == "/v1/quotas") {
+        co_return makeResponse(200, quotaJson(m_quotas.status(), m_controlPlane.state().members().self().name).dump());
+    }
     if (target.starts_with(requestPrefix)) {
-        const json logLines = m_dataPlane.history().find(target.substr(requestPrefix.size()));
-        co_return makeResponse(logLines.empty() ? 404 : 200, logLines.dump());
+        const std::string id = target.substr(requestPrefix.size());
+        std::vector<std::string> logLines = m_dataPlane.history().find(id);
+        std::ranges::copy(m_quotas.rejections().find(id), std::back_inserter(logLines));
+        co_return makeResponse(logLines.empty() ? 404 : 200, json(logLines).dump());
     }
     co_return makeResponse(404, "{}");
 }
@@ -91,6 +104,7 @@
         appendMetric(text, "backends_leaving", label, static_cast<double>(withheld.leaving));
         appendMetric(text, "backends_paused", label, static_cast<double>(withheld.paused));
     }
+    appendQuotaMetrics(text, m_quotas.status());
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
     appendMetric(text, "members_alive", "", static_cast<double>(state.members().alive(now).size()));
@@ -119,14 +133,14 @@
         }
     }
     const view_position position = state.position();
-    const json body = {{"entry", state.members().self().name},
-                       {"config_version", position.configVersion},
-                       {"backends_changed_at",
-                        position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
-                       {"view_age_ms", toMilliseconds(now - state.freshAt())},
-                       {"store_available", m_controlPlane.isStoreAvailable()},
-                       {"members", members},
-                       {"backends", backends}};
+    const json body
+        = {{"entry", state.members().self().name},
+           {"config_version", position.configVersion},
+           {"backends_changed_at", position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
+           {"view_age_ms", toMilliseconds(now - state.freshAt())},
+           {"store_available", m_controlPlane.isStoreAvailable()},
+           {"members", members},
+           {"backends", backends}};
     return body.dump();
 }
 
--- a/daemon/gateway/adminserver.h
+++ b/daemon/gateway/adminserver.h
@@ -6,6 +6,7 @@
 
 #include "controlplane.h"
 #include "dataplane.h"
+#include "quotaexchange.h"
 
 #include "cardamomdeck/http/httpserver.h"
 
@@ -17,13 +18,16 @@
 namespace cardamomdeck {
 
 /**
- * Answers GET /metrics (Prometheus text), /v1/fleet (JSON) and
+ * Answers GET /metrics (Prometheus text), /v1/fleet and /v1/quotas (JSON) and
  * /v1/requests/ID (JSON list of the log lines of a request).
  */
 class admin_server
 {
 public:
-    admin_server(boost::asio::io_context &context, const data_plane &dataPlane, const control_plane &controlPlane);
+    admin_server(boost::asio::io_context &context,
+                 const data_plane &dataPlane,
+                 const control_plane &controlPlane,
+                 const quota_exchange &quotas);
 
     /** Listens on @p address; may be called for up to two addresses. Errors: port_in_use. */
     result_code listen(const socket_address &address);
@@ -35,6 +39,7 @@
 
     const data_plane &m_dataPlane;
     const control_plane &m_controlPlane;
+    const quota_exchange &m_quotas;
     http_server m_apiServer;
     http_server m_metricsServer;
     bool m_apiServerInUse = false;
--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -381,6 +381,20 @@
     publish();
 }
 
+void control_plane::onQuotaMessage(std::function<void(std::string_view, const std::string &)> handler)
+{
+    m_transport.onQuotaMessage([this, handle = std::move(handler)](std::string_view datagram, const std::string &host) {
+        if (!detectPause()) {
+            handle(datagram, host);
+        }
+    });
+}
+
+void control_plane::sendQuotaMessage(std::string_view datagram, const std::string &host)
+{
+    m_transport.sendDatagram(datagram, host);
+}
+
 const fleet_state &control_plane::state() const
 {
     return m_state;
--- a/daemon/gateway/controlplane.h
+++ b/daemon/gateway/controlplane.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomdeck {
@@ -44,6 +45,12 @@
     /** Announces the shutdown of this entry to its peers and removes it from the store. */
     void startShutdown();
 
+    /** Sets the handler of datagrams about quotas; it does not receive those that waited during a pause. */
+    void onQuotaMessage(std::function<void(std::string_view, const std::string &)> handler);
+
+    /** Sends a datagram about quotas to the entry at @p host. */
+    void sendQuotaMessage(std::string_view datagram, const std::string &host);
+
     /** The present state, for status responses. */
     const fleet_state &state() const;
 
--- a/daemon/gateway/dataplane.cpp
+++ b/daemon/gateway/dataplane.cpp
@@ -1,5 +1,7 @@
 #include "dataplane.h"
 
+#include "quotaexchange.h"
+
 #include "cardamomdeck/base/countguard.h"
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/asynctools.h"
@@ -161,6 +163,11 @@
     }
 }
 
+void data_plane::setQuotas(quota_exchange &quotas)
+{
+    m_quotas = &quotas;
+}
+
 void data_plane::applyView(const fleet_view_ptr &view)
 {
     const bool configChanged = view->config->version != m_view->config->version;
@@ -264,7 +271,8 @@
     const nlohmann::json body = {{"code", static_cast<int>(code)}, {"name", info.name}, {"message", info.meaning}};
     http_response response = makeResponse(info.httpStatus, body.dump());
     constexpr unsigned unavailable = 503;
-    if (info.httpStatus == unavailable) {
+    constexpr unsigned tooManyRequests = 429;
+    if (info.httpStatus == unavailable || info.httpStatus == tooManyRequests) {
         platform::setRetryAfter(response, retryAfter);
     }
     return response;
@@ -360,6 +368,19 @@
     m_history.add({forwarder.request().id, line.text()});
 }
 
+// The only place in which quotas take the workspace of a request: to be replaced by forwarded_request::workspace.
+std::shared_ptr<const workspace> data_plane::workspaceOf(const http_request &request) const
+{
+    const auto header = request["Key"];
+    const std::string_view key(header.data(), header.size());
+    for (const auto &[name, configured] : m_view->config->workspaces) {
+        if (std::ranges::find(configured.keys, key) != configured.keys.end()) {
+            return {m_view->config, &configured};
+        }
+    }
+    return nullptr;
+}
+
 asio::awaitable<http_response>
 data_plane::forward(http_request &request, http_exchange &exchange, traffic_rule_ptr rule, time_point arrivedAt)
 {
@@ -375,6 +396,15 @@
     if (!forwarded.service) {
         co_return rejectUnsentRequest(request, result_code::no_backend);
     }
+    const std::shared_ptr<const workspace> callerWorkspace = workspaceOf(request);
+    quota_decision quota;
+    if (callerWorkspace) {
+        quota = co_await m_quotas->admit(*callerWorkspace, deadline);
+        if (quota.verdict == quota_verdict::rejected) {
+            m_quotas->logRejection(caller.requestId, callerWorkspace->name, quota);
+            co_return makeErrorResponse(result_code::quota_exceeded, quota.retryAfter);
+        }
+    }
     removeHopByHopHeaders(request);
     request.erase(boost::beast::http::field::expect);
     forwarded.message = std::move(request);
@@ -389,6 +419,9 @@
     const auto forwarder = std::make_shared<request_forwarder>(m_forwardingContext, std::move(forwarded));
     forwarding_outcome outcome = co_await forwarder->run(exchange);
     logRequest(*forwarder, outcome, version, service, toMilliseconds(steady::now() - arrivedAt));
+    if (callerWorkspace && infoOf(outcome.code).requestOutcome == cardamomdeck::outcome::not_run) {
+        m_quotas->giveBack(callerWorkspace->name, quota);
+    }
     if (outcome.code != result_code::ok) {
         co_return makeErrorResponse(outcome.code, outcome.retryAfter);
     }
--- a/daemon/gateway/dataplane.h
+++ b/daemon/gateway/dataplane.h
@@ -29,6 +29,8 @@
 
 namespace cardamomdeck {
 
+class quota_exchange;
+
 /** Accepts callers' requests and forwards them to backend servers. */
 class data_plane
 {
@@ -43,6 +45,9 @@
     /** Binds the traffic, readiness and resolver ports. Errors: port_in_use. */
     result_code start();
 
+    /** Sets the quotas that requests are subject to; to be called before start(). */
+    void setQuotas(quota_exchange &quotas);
+
     /** Applies a new view of the fleet. */
     void applyView(const fleet_view_ptr &view);
 
@@ -99,6 +104,7 @@
     /** Rejects a request of which nothing has been sent to a backend server, and logs the reason. */
     http_response rejectUnsentRequest(const http_request &request, result_code code) const;
     std::string selectService(const traffic_rule &rule);
+    std::shared_ptr<const workspace> workspaceOf(const http_request &request) const;
 
     const platform::platform_settings &m_settings;
     random_source m_random;
@@ -112,6 +118,7 @@
     http_server m_readinessServer;
     http_server m_resolverServer;
     stale_view_check m_isViewPossiblyStale;
+    quota_exchange *m_quotas = nullptr;
     fleet_view_ptr m_view;
     entry_resolver m_entryResolver;
     rule_table m_rules;
--- a/daemon/gateway/gatewaydaemon.cpp
+++ b/daemon/gateway/gatewaydaemon.cpp
@@ -50,9 +50,16 @@
     , m_settingsFile(std::move(settingsFile))
     , m_metricsPort(metricsPort)
     , m_dataPlane(m_context, m_settings, [this] { return m_controlPlane.isViewPossiblyStale(); })
-    , m_controlPlane(m_context, m_settings, [this](const fleet_view_ptr &view) { m_dataPlane.applyView(view); })
-    , m_adminServer(m_context, m_dataPlane, m_controlPlane)
+    , m_controlPlane(m_context,
+                     m_settings,
+                     [this](const fleet_view_ptr &view) {
+                         m_quotas.applyConfig(view->config);
+                         m_dataPlane.applyView(view);
+                     })
+    , m_quotas(m_context, m_settings, m_controlPlane)
+    , m_adminServer(m_context, m_dataPlane, m_controlPlane, m_quotas)
 {
+    m_dataPlane.setQuotas(m_quotas);
 }
 
 result_code gateway_daemon::startAdminServer()
--- a/daemon/gateway/gatewaydaemon.h
+++ b/daemon/gateway/gatewaydaemon.h
@@ -7,6 +7,7 @@
 #include "controlplane.h"
 #include "dataplane.h"
 #include "adminserver.h"
+#include "quotaexchange.h"
 
 #include "cardamomdeck/platform/platformsettings.h"
 
@@ -41,6 +42,7 @@
     boost::asio::io_context m_context{1};
     data_plane m_dataPlane;
     control_plane m_controlPlane;
+    quota_exchange m_quotas;
     admin_server m_adminServer;
 };
 
--- a/daemon/gateway/peertransport.cpp
+++ b/daemon/gateway/peertransport.cpp
@@ -6,6 +6,7 @@
 #include "cardamomdeck/base/logline.h"
 #include "cardamomdeck/http/framing.h"
 #include "cardamomdeck/http/tasks.h"
+#include "cardamomdeck/quota/quotamessage.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -88,6 +89,11 @@
     m_heartbeatHandler = std::move(handler);
 }
 
+void peer_transport::onQuotaMessage(std::function<void(std::string_view, const std::string &)> handler)
+{
+    m_quotaMessageHandler = std::move(handler);
+}
+
 void peer_transport::onViewUpdate(std::function<void(view_update)> handler)
 {
     m_viewUpdateHandler = std::move(handler);
@@ -97,12 +103,17 @@
 {
     const std::string bytes = encode(heartbeat, steady::now());
     for (const std::string &host : hosts) {
-        beast::error_code error;
-        const auto address = asio::ip::make_address(host, error);
-        if (!error) {
-            // If the send buffer is full, the heartbeat is dropped; the next one follows soon.
-            m_datagrams.send_to(asio::buffer(bytes), udp::endpoint(address, m_port), 0, error);
-        }
+        // If the send buffer is full, the heartbeat is dropped; the next one follows soon.
+        sendDatagram(bytes, host);
+    }
+}
+
+void peer_transport::sendDatagram(std::string_view datagram, const std::string &host)
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(host, error);
+    if (!error) {
+        m_datagrams.send_to(asio::buffer(datagram), udp::endpoint(address, m_port), 0, error);
     }
 }
 
@@ -134,6 +145,12 @@
             continue;
         }
         const std::string_view message(buffer.data(), size);
+        if (isQuotaMessage(message)) {
+            if (m_quotaMessageHandler) {
+                m_quotaMessageHandler(message, sender.address().to_string());
+            }
+            continue;
+        }
         if (const auto heartbeat
             = decodeOrLog("peer_message_rejected", "notice", [&] { return decodeHeartbeat(message, steady::now()); })) {
             m_heartbeatHandler(*heartbeat);
--- a/daemon/gateway/peertransport.h
+++ b/daemon/gateway/peertransport.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamomdeck {
@@ -38,6 +39,9 @@
     /** Sets the handler that is called for each received heartbeat. */
     void onHeartbeat(std::function<void(const heartbeat_message &)> handler);
 
+    /** Sets the handler that is called for each datagram about quotas, with the address of its sender. */
+    void onQuotaMessage(std::function<void(std::string_view, const std::string &)> handler);
+
     /** Sets the handler that is called for each view update that a peer sends. */
     void onViewUpdate(std::function<void(view_update)> handler);
 
@@ -47,6 +51,9 @@
     /** Sends @p heartbeat to @p hosts. */
     void sendHeartbeat(const heartbeat_message &heartbeat, const std::vector<std::string> &hosts);
 
+    /** Sends @p datagram to the entry at @p host; it is dropped if the send buffer is full. */
+    void sendDatagram(std::string_view datagram, const std::string &host);
+
     /** Requests the view of the entry at @p host; returns nothing on failure or timeout. */
     boost::asio::awaitable<std::optional<view_response>> requestView(std::string host, view_request request);
 
@@ -68,6 +75,7 @@
     view_response_cache m_responseCache;
     std::function<void(const heartbeat_message &)> m_heartbeatHandler;
     std::function<void(view_update)> m_viewUpdateHandler;
+    std::function<void(std::string_view, const std::string &)> m_quotaMessageHandler;
     std::uint16_t m_port = 0;
     std::uint64_t m_transferredBytes = 0;
     /** Number of view requests that are being answered. */
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -48,6 +48,7 @@
     memory_short = 310,
     request_incomplete = 311,
     backends_withheld = 312,
+    quota_exceeded = 320,
 
     deadline_passed = 400,
     answer_cut = 401,
