--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
 from standins2 import ZONES, config, play, route  # noqa: E402
 
 EVACUATE_S = 5.0
