--- a/daemon/gateway/adminserver.cpp
+++ b/daemon/gateway/adminserver.cpp
@@ -122,6 +122,7 @@
     }
     appendQuotaMetrics(text, m_quotas.status());
     appendMetric(text, "config_version", "", static_cast<double>(state.position().configVersion));
+    appendMetric(text, "store_era", "", static_cast<double>(state.position().backendsEnd.era.value_or(0)));
     appendMetric(text, "view_age_ms", "", toMilliseconds(now - state.freshAt()));
     appendEvacuationMetrics(text, state.evacuations());
     appendMetric(text, "members_alive", "", static_cast<double>(state.members().alive(now).size()));
@@ -154,7 +155,8 @@
     const json body
         = {{"entry", state.members().self().name},
            {"config_version", position.configVersion},
-           {"backends_changed_at", position.lastBackendChangeOffset ? json(*position.lastBackendChangeOffset) : json()},
+           {"backends_changed_at", position.lastBackendChange ? json(position.lastBackendChange->offset) : json()},
+           {"store_era", position.backendsEnd.era ? json(*position.backendsEnd.era) : json()},
            {"view_age_ms", toMilliseconds(now - state.freshAt())},
            {"store_available", m_controlPlane.isStoreAvailable()},
            {"zone_overflow", json::parse(overflowJson(m_dataPlane.overflowSettings(), m_dataPlane.services()))},
--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -47,10 +47,15 @@
 constexpr milliseconds relayTimeout{250};
 constexpr milliseconds relayJitter{150};
 
-/** The offset for log lines. */
-std::string textOf(std::optional<store_offset> offset)
+/** The offset of @p position for log lines. */
+std::string textOf(const std::optional<topic_position> &position)
 {
-    return offset ? std::to_string(*offset) : "none";
+    return position ? std::to_string(position->offset) : "none";
+}
+
+std::string textOf(const store_era &era)
+{
+    return era ? std::to_string(*era) : "none";
 }
 
 fleet_member makeLocalMember(const platform::platform_settings &settings)
@@ -146,13 +151,14 @@
                             : storeRead.configRead                         ? "backends"
                                                                            : "config");
     const bool changed = m_state.applyStoreRead(storeRead, steady::now());
+    recordEra("store");
     if (changed) {
         const view_position position = m_state.position();
         log_line("view_changed")
             .add("source", "store")
             .add("config_from", previousPosition.configVersion)
             .add("config", position.configVersion)
-            .add("backends_changed_at", textOf(position.lastBackendChangeOffset))
+            .add("backends_changed_at", textOf(position.lastBackendChange))
             .info();
         publishNews("store");
     }
@@ -176,6 +182,29 @@
     sendToAllPeers(announcement->heartbeat);
 }
 
+void control_plane::recordEra(std::string_view source)
+{
+    const view_position position = m_state.position();
+    if (position.configEnd.era <= m_followed.configEnd.era && position.backendsEnd.era <= m_followed.backendsEnd.era) {
+        m_followed = position;
+        return;
+    }
+    if (m_followed.backendsEnd.era) {
+        log_line("store_restored")
+            .add("source", source)
+            .add("era_from", textOf(m_followed.backendsEnd.era))
+            .add("era", textOf(position.backendsEnd.era))
+            .add("config_era", textOf(position.configEnd.era))
+            .add("config", position.configVersion)
+            .add("config_end_from", m_followed.configEnd.offset)
+            .add("config_end", position.configEnd.offset)
+            .add("backends_end_from", m_followed.backendsEnd.offset)
+            .add("backends_end", position.backendsEnd.offset)
+            .warn();
+    }
+    m_followed = position;
+}
+
 void control_plane::recordStoreAvailability(bool available, const char *part)
 {
     if (available != m_storeAvailable) {
@@ -196,6 +225,7 @@
     const time_point now = steady::now();
     m_zoneLoads.handle(heartbeat);
     const fleet_state::heartbeat_result result = m_state.applyHeartbeat(heartbeat, now);
+    recordEra(heartbeat.sender.name);
     if (result.shouldRequestView && m_pendingViewRequests == 0) {
         const auto pendingGuard = std::make_shared<count_guard<unsigned>>(m_pendingViewRequests);
         startTask(m_context, "view_question", [this, heartbeat, freshAt = result.announcedFreshAt, pendingGuard] {
@@ -209,7 +239,7 @@
         log_line("view_changed")
             .add("source", heartbeat.sender.name)
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChange))
             .add("age_ms", heartbeat.viewAge->count())
             .info();
         publish();
@@ -237,11 +267,13 @@
 void control_plane::handleViewUpdate(const view_update &update)
 {
     m_updateRelay.broadcast(update, splitEvenly(update.relayHosts));
-    if (m_state.applyViewUpdate(update, decodeUpdatedConfig(update.changes), steady::now())) {
+    const bool changed = m_state.applyViewUpdate(update, decodeUpdatedConfig(update.changes), steady::now());
+    recordEra("relay");
+    if (changed) {
         log_line("view_changed")
             .add("source", "relay")
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChange))
             .info();
         publishNews("relay");
     }
@@ -286,10 +318,11 @@
             .add("source", heartbeat.sender.name)
             .add("config_from", request.position.configVersion)
             .add("config", m_state.position().configVersion)
-            .add("backends_changed_at", textOf(m_state.position().lastBackendChangeOffset))
+            .add("backends_changed_at", textOf(m_state.position().lastBackendChange))
             .add("age_ms", heartbeat.viewAge->count())
             .info();
     }
+    recordEra(heartbeat.sender.name);
     if (m_state.members().self().ready != wasReady) {
         announceReady();
     }
--- a/daemon/gateway/controlplane.h
+++ b/daemon/gateway/controlplane.h
@@ -87,6 +87,8 @@
     /** Announces to peers that this entry has its first view. */
     void announceReady();
     void sendHeartbeat();
+    /** Logs once that the view follows a restored store, due to @p source. */
+    void recordEra(std::string_view source);
     void recordStoreAvailability(bool available, const char *part);
     void publish();
     /** Publishes a view with news from @p source, and logs changes of evacuations. */
@@ -111,6 +113,8 @@
     fleet_view_ptr m_publishedView;
     zone_load_exchange m_zoneLoads;
     evacuation_log m_evacuationLog;
+    /** Last position of the view, for recordEra(). */
+    view_position m_followed;
     pause_detector m_pauseDetector;
     /** View requests to peers that are in flight; at most one. */
     unsigned m_pendingViewRequests = 0;
--- a/daemon/gateway/storereader.cpp
+++ b/daemon/gateway/storereader.cpp
@@ -33,14 +33,14 @@
 /** Appends the record of the evacuation with the key @p key, if that names a zone; logs it otherwise. */
 void addEvacuation(std::vector<evacuation_record> &evacuations,
                    const std::string &key,
-                   store_offset offset,
+                   const topic_position &position,
                    bool exists)
 {
     if (!platform::isEvacuationKey(key)) {
         return;
     }
     if (auto zone = decodeOrLog("record_rejected", key, [&] { return platform::decodeEvacuatedZone(key); })) {
-        evacuations.push_back({std::move(*zone), {0, offset}, exists});
+        evacuations.push_back({std::move(*zone), position, exists});
     }
 }
 
@@ -49,11 +49,12 @@
 {
     std::vector<evacuation_record> evacuations;
     for (const platform::keyed_record &item : topicRead.records) {
-        addEvacuation(evacuations, item.key, item.offset, item.value && !item.value->empty());
+        const bool exists = item.value && !item.value->empty();
+        addEvacuation(evacuations, item.key, {topicRead.era, item.offset}, exists);
     }
     for (const std::string &key : topicRead.unreadableKeys) {
         // The offset is not known; the record is one of those before the end of the listing.
-        addEvacuation(evacuations, key, topicRead.nextOffset - std::min<store_offset>(topicRead.nextOffset, 1), true);
+        addEvacuation(evacuations, key, lastBefore({topicRead.era, topicRead.nextOffset}), true);
     }
     return evacuations;
 }
@@ -66,7 +67,7 @@
     platform::keyed_read_result topicRead;
     topicRead.code = result_code::offset_expired;
     if (position.configVersion > 0 && !m_state.evacuations().needsListing()) {
-        topicRead = co_await m_store.readFrom(store_topic::operator_config, position.configEndOffset, deadline);
+        topicRead = co_await m_store.readFrom(store_topic::operator_config, position.configEnd, deadline);
     }
     if (topicRead.code == result_code::offset_expired) {
         topicRead = co_await m_store.readNewest(store_topic::operator_config, deadline);
@@ -75,7 +76,7 @@
     if (topicRead.code != result_code::ok) {
         co_return false;
     }
-    storeRead.configEndOffset = topicRead.nextOffset;
+    storeRead.configEnd = {topicRead.era, topicRead.nextOffset};
     storeRead.evacuations = decodeEvacuations(topicRead);
     for (const platform::keyed_record &item : topicRead.records) {
         if (item.key != platform::configKey || !item.value) {
@@ -94,8 +95,8 @@
     const view_position position = m_state.position();
     platform::keyed_read_result topicRead;
     topicRead.code = result_code::offset_expired;
-    if (m_state.isComplete()) {
-        topicRead = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEndOffset, deadline);
+    if (!m_state.needsBackendListing(steady::now())) {
+        topicRead = co_await m_store.readFrom(store_topic::backend_servers, position.backendsEnd, deadline);
     }
     if (topicRead.code == result_code::offset_expired) {
         topicRead = co_await m_store.readNewest(store_topic::backend_servers, deadline);
@@ -104,10 +105,10 @@
     if (topicRead.code != result_code::ok && (storeRead.completeListing || topicRead.records.empty())) {
         co_return false;
     }
-    storeRead.backendsEndOffset = topicRead.nextOffset;
+    storeRead.backendsEnd = {topicRead.era, topicRead.nextOffset};
     const time_point now = steady::now();
     for (platform::keyed_record &item : topicRead.records) {
-        backend_record record{item.key, item.offset, std::nullopt};
+        backend_record record{item.key, {topicRead.era, item.offset}, std::nullopt};
         if (item.value) {
             record.server = decodeOrLog(
                 "record_rejected", item.key, [&] { return platform::decodeBackend(item.key, *item.value, now); });
--- a/daemon/gateway/storereader.h
+++ b/daemon/gateway/storereader.h
@@ -13,7 +13,8 @@
 
 /**
  * Reads the configuration with the evacuations, and the backend servers, from the end offset of the entry's view, or
- * lists them completely if there is no view yet or that offset has expired. The configuration is also listed when
+ * lists them completely if there is no view yet, that offset has expired, or the store has been restored from an older
+ * copy. The configuration is also listed when
  * evacuation_table::needsListing().
  */
 class store_reader
--- a/libs/base/include/cardamomdeck/base/resultcode.h
+++ b/libs/base/include/cardamomdeck/base/resultcode.h
@@ -34,6 +34,7 @@
     offset_expired = 206,
     change_pending = 207,
     method_unsupported = 208,
+    store_era_outdated = 209,
 
     request_malformed = 300,
     head_too_large = 301,
--- a/libs/fleet/include/cardamomdeck/fleet/evacuationtable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/evacuationtable.h
@@ -80,6 +80,9 @@
      */
     bool needsListing() const;
 
+    /** True if needsListing() because of the table of a peer; only a read of this entry can resolve that. */
+    bool isContradicted() const;
+
     /** The record about @p zone, if one is known. */
     std::optional<evacuation_record> find(const std::string &zone) const;
 
--- a/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetmessage.h
@@ -27,20 +27,22 @@
 struct view_position
 {
     std::uint64_t configVersion = 0;
-    /** Offset after the last read record of the configuration topic. */
-    store_offset configEndOffset = 0;
-    /** Offset of the last effective change of a backend server; none before the first one. */
-    std::optional<store_offset> lastBackendChangeOffset;
-    /** Offset after the last read backend record. */
-    store_offset backendsEndOffset = 0;
+    /** Position after the last read record of the configuration topic. */
+    topic_position configEnd;
+    /** Position of the last effective change of a backend server; none before the first one. */
+    std::optional<topic_position> lastBackendChange;
+    /** Position after the last read backend record. */
+    topic_position backendsEnd;
+    /** See backend_registry::listedUpTo(). */
+    topic_position backendsListedUpTo;
 
     bool operator==(const view_position &) const = default;
 };
 
-/** Changes of backend servers after an offset; none for those from the start of the topic. */
+/** Changes of backend servers after a position; none for those from the start of the topic. */
 struct backend_changes
 {
-    std::optional<store_offset> afterOffset;
+    std::optional<topic_position> after;
     std::vector<backend_record> records;
 
     bool operator==(const backend_changes &) const = default;
@@ -61,7 +63,7 @@
     std::optional<backend_changes> changes;
     /** The changes up to this position are being relayed by other entries. */
     bool relayed = false;
-    /** position.lastBackendChangeOffset is an upper bound, see backend_registry::hasOnlyInitialListing(). */
+    /** position.lastBackendChange is an upper bound, see backend_registry::hasOnlyInitialListing(). */
     bool onlyInitialListing = false;
     /** Loads of zones; empty while zone_overflow is off. */
     std::vector<zone_load_report> zoneLoads;
@@ -75,6 +77,11 @@
 struct view_request
 {
     view_position position;
+    /**
+     * The sender takes view_response::completeBackends; false for entries of earlier versions, whose positions have no
+     * eras.
+     */
+    bool acceptsListing = true;
 
     bool operator==(const view_request &) const = default;
 };
@@ -86,6 +93,10 @@
     /** The configuration, if it is newer than the requested position. */
     std::optional<config_update> config;
     std::vector<backend_record> backends;
+    /** The list has all backend servers; others have been removed. */
+    bool completeBackends = false;
+    /** See backend_registry::disputedServers(); only with completeBackends. */
+    std::vector<std::string> disputedBackends;
     std::vector<fleet_member> members;
     /** @copydoc heartbeat_message::evacuations */
     std::vector<evacuation_record> evacuations;
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -30,13 +30,13 @@
     bool backendsRead = true;
     /** The newest configuration, if the read returned one. */
     std::optional<config_source> config;
-    store_offset configEndOffset = 0;
+    topic_position configEnd;
     /** Evacuations of the part of the store with the configuration. */
     std::vector<evacuation_record> evacuations;
     /** That part was listed completely; evacuations that are not listed have ended. */
     bool completeConfigListing = false;
     std::vector<backend_record> backends;
-    store_offset backendsEndOffset = 0;
+    topic_position backendsEnd;
     /** The records are a complete listing; servers that are not in it have been removed. */
     bool completeListing = false;
 };
@@ -63,7 +63,10 @@
     /** Creates the state of the entry @p self. */
     explicit fleet_state(fleet_member self);
 
-    /** Applies a store read; returns true when the view changed. Only a read of both parts refreshes the view. */
+    /**
+     * Applies a store read; returns true when the view changed. Only a read of both parts refreshes the view. A part
+     * that was read in an era before that of the view counts as not read.
+     */
     bool applyStoreRead(const store_read_result &readResult, time_point now);
 
     /** Outcome of applying a heartbeat. */
@@ -87,7 +90,10 @@
         std::optional<fleet_member> laterIncarnation;
     };
 
-    /** Applies a heartbeat. */
+    /**
+     * Applies a heartbeat. The position of a sender that has not noticed a restored store, or that is of an earlier
+     * version and knows no eras, confirms nothing.
+     */
     heartbeat_result applyHeartbeat(const heartbeat_message &message, time_point now);
 
     /**
@@ -149,7 +155,10 @@
     /** Applies a relayed view update; returns true when the view changed. */
     bool applyViewUpdate(const view_update &update, std::optional<config_source> config, time_point now);
 
-    /** True when a view at @p position has no changes that this view lacks. */
+    /**
+     * True when a view at @p position has no changes that this view lacks. A view that has been listed beyond the end
+     * of this one may have some, see backend_registry::listedUpTo().
+     */
     bool isUpToDateWith(const view_position &position) const;
 
     /**
@@ -190,6 +199,9 @@
     /** Position of this view. */
     view_position position() const;
 
+    /** True if the next read must list all backend servers, see backend_registry::listingNeededAt(). */
+    bool needsBackendListing(time_point now) const;
+
     /** True once a complete view has been read or received. */
     bool isComplete() const;
 
@@ -213,6 +225,14 @@
     void updateReadiness();
     void recordFresh(time_point at, time_point now);
     bool applyBackends(const store_read_result &readResult, time_point now);
+    /** True if the sender of @p message should be asked for its members. */
+    bool shouldRequestMembers(const heartbeat_message &message, time_point now);
+    /** Applies the backend servers of a peer's view; see view_response::completeBackends. */
+    bool applyPeerBackends(const view_response &response, time_point now);
+    /** True if @p position is from an era of the store before that of this view. */
+    bool isOfEarlierEra(const view_position &position) const;
+    /** Raises m_configEnd to @p end; a lower position is ignored. */
+    void advanceConfigTo(const topic_position &end);
     bool applyEvacuations(const store_read_result &readResult);
     /** Applies the table of a peer with the view @p peerPosition; returns true when the evacuated zones changed. */
     bool applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition);
@@ -239,7 +259,7 @@
     config_history m_configHistory;
     /** A delta could not be applied; the next view request is for the full configuration. */
     bool m_fullConfigNeeded = false;
-    store_offset m_configEndOffset = 0;
+    topic_position m_configEnd;
     evacuation_table m_evacuations;
     /** A read has changed the evacuated zones, and no announcement has followed. */
     bool m_evacuationsUnannounced = false;
--- a/libs/fleet/include/cardamomdeck/fleet/readschedule.h
+++ b/libs/fleet/include/cardamomdeck/fleet/readschedule.h
@@ -71,12 +71,13 @@
     /** Time of the next read of the entry with rank @p rank, counted from 0, among @p members live entries. */
     time_point nextRead(std::size_t rank, std::size_t members) const;
 
+    /** End of the delay after a failed read; in the past if the last read did not fail. Arguments as for nextRead(). */
+    time_point retryAt(std::size_t rank, std::size_t members) const;
+
     /** Time at which the view was last known to be complete. */
     time_point freshAt() const;
 
 private:
-    time_point retryAt(std::size_t rank, std::size_t members) const;
-
     time_point m_freshAt;
     time_point m_failedAt = time_point::min();
     /** Delay after the last failed read while this entry is one of the fastRetryMembers; 0 after a successful read. */
--- a/libs/fleet/src/evacuationencoding.cpp
+++ b/libs/fleet/src/evacuationencoding.cpp
@@ -21,11 +21,18 @@
     return field.get<std::uint64_t>();
 }
 
+/** Entries of earlier versions, which know no eras, send and expect 0 in the second field. */
+constexpr std::uint64_t earlierVersionEra = 0;
+constexpr std::size_t eraField = 4;
+
 evacuation_record recordFromJson(const json &fields)
 {
-    evacuation_record record{fields.at(0).get<std::string>(),
-                             {positionNumberFromJson(fields.at(1)), positionNumberFromJson(fields.at(2))},
-                             fields.at(3).get<bool>()};
+    positionNumberFromJson(fields.at(1));
+    evacuation_record record{
+        fields.at(0).get<std::string>(), positionNumberFromJson(fields.at(2)), fields.at(3).get<bool>()};
+    if (fields.size() > eraField) {
+        record.position.era = positionNumberFromJson(fields.at(eraField));
+    }
     if (!isZoneName(record.zone)) {
         throw std::invalid_argument("zone of an evacuation is not a name");
     }
@@ -41,7 +48,11 @@
     }
     json list = json::array();
     for (const evacuation_record &record : records) {
-        list.push_back(json::array({record.zone, record.position.era, record.position.offset, record.evacuated}));
+        json fields = json::array({record.zone, earlierVersionEra, record.position.offset, record.evacuated});
+        if (record.position.era) {
+            fields.push_back(*record.position.era);
+        }
+        list.push_back(std::move(fields));
     }
     fields.push_back(std::move(list));
 }
--- a/libs/fleet/src/evacuationtable.cpp
+++ b/libs/fleet/src/evacuationtable.cpp
@@ -82,9 +82,10 @@
         merge(record);
     }
     for (auto &[zone, known] : m_zones) {
-        if (known.evacuated && known.position < end && !listed.contains(zone)) {
-            // The removal is one of the records before the end; the record at the end is still to be read.
-            merge({zone, {end.era, end.offset - 1}, false});
+        if (known.position < end && !listed.contains(zone)) {
+            // The removal is one of the records before the end; the record at the end is still to be read. Also if this
+            // entry knows the zone as returned, as others may have seen an evacuation since.
+            merge({zone, lastBefore(end), false});
         }
     }
     if (m_listingNeededUpTo && end >= *m_listingNeededUpTo) {
@@ -125,6 +126,11 @@
     return m_listingNeededUpTo.has_value();
 }
 
+bool evacuation_table::isContradicted() const
+{
+    return m_listingNeededUpTo > topic_position();
+}
+
 std::optional<evacuation_record> evacuation_table::find(const std::string &zone) const
 {
     const auto found = m_zones.find(zone);
--- a/libs/fleet/src/fleetmessage.cpp
+++ b/libs/fleet/src/fleetmessage.cpp
@@ -40,14 +40,41 @@
             fields.at(6).get<std::uint32_t>()};
 }
 
-/** Entries of earlier versions read the last change as a number, so whether there is one is a field of its own. */
+json toJson(const store_era &era)
+{
+    return era ? json(*era) : json();
+}
+
+store_era eraFromJson(const json &field)
+{
+    if (field.is_null()) {
+        return std::nullopt;
+    }
+    if (!field.is_number_unsigned() || field.get<std::uint64_t>() > maxStoreEra) {
+        throw std::invalid_argument("era of the store is out of range");
+    }
+    return field.get<std::uint64_t>();
+}
+
+/**
+ * Entries of earlier versions read the last change as a number, so whether there is one is a field of its own. They
+ * ignore the last field, with the eras and the end of the last listing.
+ */
 json toJson(const view_position &position)
 {
-    return json::array({position.configVersion,
-                        position.configEndOffset,
-                        position.lastBackendChangeOffset.value_or(0),
-                        position.backendsEndOffset,
-                        position.lastBackendChangeOffset.has_value()});
+    json fields = json::array({position.configVersion,
+                               position.configEnd.offset,
+                               position.lastBackendChange.value_or(topic_position()).offset,
+                               position.backendsEnd.offset,
+                               position.lastBackendChange.has_value()});
+    if (position.configEnd.era || position.backendsListedUpTo != topic_position()) {
+        fields.push_back(json::array({toJson(position.configEnd.era),
+                                      toJson(position.lastBackendChange.value_or(topic_position()).era),
+                                      toJson(position.backendsEnd.era),
+                                      toJson(position.backendsListedUpTo.era),
+                                      position.backendsListedUpTo.offset}));
+    }
+    return fields;
 }
 
 /** Maximum of the durations in messages; larger ones could overflow when they are applied to a point in time. */
@@ -65,15 +92,27 @@
 
 view_position positionFromJson(const json &fields)
 {
-    view_position position{
-        fields.at(0).get<std::uint64_t>(), fields.at(1).get<store_offset>(), {}, fields.at(3).get<store_offset>()};
+    view_position position;
+    position.configVersion = fields.at(0).get<std::uint64_t>();
+    position.configEnd.offset = fields.at(1).get<store_offset>();
+    position.backendsEnd.offset = fields.at(3).get<store_offset>();
     const auto lastChange = fields.at(2).get<store_offset>();
-    constexpr std::size_t earlierVersionFields = 4;
+    constexpr std::size_t hasChangeField = 4;
+    constexpr std::size_t erasField = 5;
     // An entry of an earlier version sends 0 both for the first record and for no change.
-    const bool hasChange = fields.size() > earlierVersionFields ? fields.at(earlierVersionFields).get<bool>()
-                                                                : lastChange > 0 || position.backendsEndOffset > 0;
+    const bool hasChange = fields.size() > hasChangeField ? fields.at(hasChangeField).get<bool>()
+                                                          : lastChange > 0 || position.backendsEnd.offset > 0;
     if (hasChange) {
-        position.lastBackendChangeOffset = lastChange;
+        position.lastBackendChange = lastChange;
+    }
+    if (fields.size() > erasField) {
+        const json &eras = fields.at(erasField);
+        position.configEnd.era = eraFromJson(eras.at(0));
+        position.backendsEnd.era = eraFromJson(eras.at(2));
+        if (position.lastBackendChange) {
+            position.lastBackendChange->era = eraFromJson(eras.at(1));
+        }
+        position.backendsListedUpTo = {eraFromJson(eras.at(3)), eras.at(4).get<store_offset>()};
     }
     return position;
 }
@@ -81,12 +120,12 @@
 json toJson(const backend_record &record, time_point now)
 {
     if (!record.server) {
-        return json::array({record.id, record.offset});
+        return json::array({record.id, record.position.offset});
     }
     const backend_server &server = *record.server;
     const auto remainingWarmup = std::chrono::duration_cast<milliseconds>(std::max(server.warmupEndsAt, now) - now);
     return json::array({record.id,
-                        record.offset,
+                        record.position.offset,
                         server.service,
                         server.zone,
                         toString(server.address),
@@ -141,6 +180,26 @@
     return records;
 }
 
+/** Eras of records in a list of their own, because entries of earlier versions read records of a fixed size. */
+json erasToJson(const std::vector<backend_record> &records)
+{
+    json eras = json::array();
+    for (const backend_record &record : records) {
+        eras.push_back(toJson(record.position.era));
+    }
+    return eras;
+}
+
+void applyErasFromJson(const json &eras, std::vector<backend_record> &records)
+{
+    if (eras.size() != records.size()) {
+        throw std::invalid_argument("records and their eras differ in number");
+    }
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        records[i].position.era = eraFromJson(eras.at(i));
+    }
+}
+
 json toJson(const std::optional<config_update> &config)
 {
     if (!config) {
@@ -176,6 +235,13 @@
     json fields = json::array(
         {toJson(response.position), toJson(response.config), recordsToJson(response.backends, now), members});
     appendEvacuations(fields, response.evacuations);
+    if (response.position.backendsEnd.era || response.completeBackends) {
+        if (response.evacuations.empty()) {
+            fields.push_back(json::array());
+        }
+        fields.push_back(
+            json::array({response.completeBackends, erasToJson(response.backends), response.disputedBackends}));
+    }
     return fields;
 }
 
@@ -190,6 +256,13 @@
     }
     constexpr std::size_t evacuationsField = 4;
     response.evacuations = evacuationsFromJson(fields, evacuationsField);
+    constexpr std::size_t listingField = 5;
+    if (fields.size() > listingField) {
+        const json &listing = fields.at(listingField);
+        response.completeBackends = listing.at(0).get<bool>();
+        applyErasFromJson(listing.at(1), response.backends);
+        response.disputedBackends = listing.at(2).get<std::vector<std::string>>();
+    }
     return response;
 }
 
@@ -240,6 +313,21 @@
     }
 }
 
+backend_changes changesFromJson(const json &fields, time_point now)
+{
+    backend_changes changes{fields.at(0).get<store_offset>(), recordsFromJson(fields.at(1), now)};
+    constexpr std::size_t hasAfterField = 2;
+    constexpr std::size_t erasField = 3;
+    if (fields.size() > erasField) {
+        changes.after->era = eraFromJson(fields.at(erasField).at(0));
+        applyErasFromJson(fields.at(erasField).at(1), changes.records);
+    }
+    if (fields.size() > hasAfterField && !fields.at(hasAfterField).get<bool>()) {
+        changes.after.reset();
+    }
+    return changes;
+}
+
 std::string pack(const json &message)
 {
     std::string bytes;
@@ -277,9 +365,13 @@
     }
     json changes = json::array();
     if (heartbeat.changes) {
-        changes.push_back(heartbeat.changes->afterOffset.value_or(0));
+        const topic_position after = heartbeat.changes->after.value_or(topic_position());
+        changes.push_back(after.offset);
         changes.push_back(recordsToJson(heartbeat.changes->records, now));
-        changes.push_back(heartbeat.changes->afterOffset.has_value());
+        changes.push_back(heartbeat.changes->after.has_value());
+        if (heartbeat.position.backendsEnd.era) {
+            changes.push_back(json::array({toJson(after.era), erasToJson(heartbeat.changes->records)}));
+        }
     }
     const json age = heartbeat.viewAge ? json(heartbeat.viewAge->count()) : json();
     json fields = json::array({toJson(heartbeat.sender),
@@ -303,7 +395,7 @@
 
 std::string encode(const view_request &request)
 {
-    return compress(pack(json::array({request_kind::view_request, toJson(request.position)})));
+    return compress(pack(json::array({request_kind::view_request, toJson(request.position), request.acceptsListing})));
 }
 
 std::string encode(const view_update &update, time_point now)
@@ -331,11 +423,7 @@
             heartbeat.gossipedMembers.push_back({memberFromJson(gossiped.at(0)), ageFromJson(gossiped.at(1))});
         }
         if (const json &changes = fields.at(5); !changes.empty()) {
-            constexpr std::size_t earlierVersionFields = 2;
-            heartbeat.changes = {changes.at(0).get<store_offset>(), recordsFromJson(changes.at(1), now)};
-            if (changes.size() > earlierVersionFields && !changes.at(earlierVersionFields).get<bool>()) {
-                heartbeat.changes->afterOffset.reset();
-            }
+            heartbeat.changes = changesFromJson(changes, now);
         }
         heartbeat.relayed = fields.at(6).get<bool>();
         heartbeat.onlyInitialListing = fields.at(7).get<bool>();
@@ -351,10 +439,12 @@
 leaf::result<peer_request> decodeRequest(std::string_view message, time_point now)
 {
     BOOST_LEAF_AUTO(decompressed, decompress(message, maxPeerMessageBytes));
+    constexpr std::size_t acceptsListingField = 2;
     return unpack(decompressed, [now](const json &fields) -> peer_request {
         switch (fields.at(0).get<request_kind>()) {
         case request_kind::view_request:
-            return view_request{positionFromJson(fields.at(1))};
+            return view_request{positionFromJson(fields.at(1)),
+                                fields.size() > acceptsListingField && fields.at(acceptsListingField).get<bool>()};
         case request_kind::view_update:
             return viewUpdateFromJson(fields, now);
         }
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -18,12 +18,6 @@
 /** Minimum time between two view requests for members that a peer has and this entry lacks. */
 constexpr milliseconds minMemberRequestInterval{2000};
 
-/** The offset after @p offset, or the start of the topic. */
-store_offset offsetAfter(std::optional<store_offset> offset)
-{
-    return offset ? *offset + 1 : 0;
-}
-
 std::set<std::string> warmupLimitedServices(const traffic_config &config)
 {
     std::set<std::string> names;
@@ -56,7 +50,7 @@
 
 void fleet_state::updateReadiness()
 {
-    const bool backendsKnown = m_complete || m_backends.endOffset() > 0;
+    const bool backendsKnown = m_complete || m_backends.endPosition().offset > 0;
     if (m_config->version > 0 && backendsKnown) {
         m_members.setReady();
     }
@@ -73,7 +67,9 @@
 
 bool fleet_state::applyStoreRead(const store_read_result &readResult, time_point now)
 {
-    if (readResult.configRead && readResult.backendsRead) {
+    const bool configRead = readResult.configRead && readResult.configEnd.era >= m_configEnd.era;
+    const bool backendsRead = readResult.backendsRead && readResult.backendsEnd.era >= m_backends.endPosition().era;
+    if (configRead && backendsRead) {
         recordFresh(readResult.startedAt, now);
         m_schedule.recordSuccess();
     } else {
@@ -84,12 +80,12 @@
     if (readResult.config) {
         changed = installConfig(*readResult.config);
     }
-    if (readResult.configRead) {
+    if (configRead) {
         changed = applyEvacuations(readResult) || changed;
-        m_configEndOffset = std::max(m_configEndOffset, readResult.configEndOffset);
+        advanceConfigTo(readResult.configEnd);
     }
     // Records that were read before a later call failed are applied, but do not refresh the view.
-    const bool applicable = readResult.backendsRead || !readResult.completeListing;
+    const bool applicable = backendsRead || !readResult.completeListing;
     changed = (applicable && applyBackends(readResult, now)) || changed;
     updateReadiness();
     return changed;
@@ -98,20 +94,26 @@
 bool fleet_state::applyBackends(const store_read_result &readResult, time_point now)
 {
     if (readResult.completeListing) {
-        return m_backends.replaceAll(readResult.backends, readResult.backendsEndOffset, now);
+        return m_backends.replaceAll(readResult.backends, readResult.backendsEnd, now);
     }
     bool changed = false;
     for (const backend_record &record : readResult.backends) {
         changed = m_backends.apply(record, now) || changed;
     }
-    m_backends.advanceTo(readResult.backendsEndOffset);
+    m_backends.advanceTo(readResult.backendsEnd);
     return changed;
 }
 
 bool fleet_state::isUpToDateWith(const view_position &position) const
 {
     return m_complete && m_config->version >= position.configVersion
-           && m_backends.isUpToDateWith(position.lastBackendChangeOffset);
+           && m_backends.endPosition() >= position.backendsListedUpTo
+           && m_backends.isUpToDateWith(position.lastBackendChange);
+}
+
+bool fleet_state::isOfEarlierEra(const view_position &position) const
+{
+    return position.configEnd.era < m_configEnd.era || position.backendsEnd.era < m_backends.endPosition().era;
 }
 
 bool fleet_state::canBootstrapFrom(milliseconds age) const
@@ -119,6 +121,15 @@
     return m_complete || m_failedReadAt || age <= storeOutageThreshold;
 }
 
+bool fleet_state::shouldRequestMembers(const heartbeat_message &message, time_point now)
+{
+    const bool lacksMembers = message.liveMembers > m_members.countAlive(now) && now >= m_nextMemberRequestAt;
+    if (lacksMembers) {
+        m_nextMemberRequestAt = now + minMemberRequestInterval;
+    }
+    return !m_membershipKnown || lacksMembers;
+}
+
 fleet_state::heartbeat_result fleet_state::applyHeartbeat(const heartbeat_message &message, time_point now)
 {
     heartbeat_result result;
@@ -135,9 +146,17 @@
     if (!message.viewAge || !canBootstrapFrom(*message.viewAge)) {
         return result;
     }
-    if (m_complete && message.changes && m_backends.isUpToDateWith(message.changes->afterOffset)) {
+    if (isOfEarlierEra(message.position)) {
+        result.announcedFreshAt.reset();
+        // A configuration has a version of its own, which does not depend on the store.
+        const bool newConfig = message.position.configVersion > m_config->version;
+        result.shouldRequestView = newConfig || shouldRequestMembers(message, now);
+        return result;
+    }
+    const bool followsListing = m_backends.endPosition() >= message.position.backendsListedUpTo;
+    if (m_complete && message.changes && followsListing && m_backends.isUpToDateWith(message.changes->after)) {
         for (const backend_record &record : message.changes->records) {
-            result.viewChanged = m_backends.apply(record, now) || result.viewChanged;
+            result.viewChanged = m_backends.applyPeerChange(record, now) || result.viewChanged;
         }
     }
     if (message.relayed) {
@@ -153,17 +172,13 @@
         result.shouldRequestView = true;
         return result;
     }
-    const bool lacksMembers = message.liveMembers > m_members.countAlive(now) && now >= m_nextMemberRequestAt;
-    if (lacksMembers) {
-        m_nextMemberRequestAt = now + minMemberRequestInterval;
-    }
-    result.shouldRequestView = !m_membershipKnown || lacksMembers;
+    result.shouldRequestView = shouldRequestMembers(message, now);
     if (hasUnknownChanges) {
         return result;
     }
     recordFresh(now - *message.viewAge, now);
-    m_configEndOffset = std::max(m_configEndOffset, message.position.configEndOffset);
-    m_backends.advanceTo(message.position.backendsEndOffset);
+    advanceConfigTo(message.position.configEnd);
+    m_backends.advanceTo(message.position.backendsEnd);
     updateReadiness();
     return result;
 }
@@ -174,8 +189,8 @@
         return;
     }
     recordFresh(m_announcedView->freshAt, now);
-    m_configEndOffset = std::max(m_configEndOffset, m_announcedView->position.configEndOffset);
-    m_backends.advanceTo(m_announcedView->position.backendsEndOffset);
+    advanceConfigTo(m_announcedView->position.configEnd);
+    m_backends.advanceTo(m_announcedView->position.backendsEnd);
     m_announcedView.reset();
 }
 
@@ -186,10 +201,10 @@
         changed = installConfig(std::move(*config)) || changed;
     }
     // If records before them are missing, applying these would mark the missing ones as received.
-    if (m_complete && m_backends.isUpToDateWith(update.basePosition.lastBackendChangeOffset)) {
-        for (const backend_record &record : update.changes.backends) {
-            changed = m_backends.apply(record, now) || changed;
-        }
+    const bool followsView = m_backends.endPosition() >= update.changes.position.backendsListedUpTo
+                             && m_backends.isUpToDateWith(update.basePosition.lastBackendChange);
+    if (m_complete && (update.changes.completeBackends || followsView)) {
+        changed = applyPeerBackends(update.changes, now) || changed;
     }
     confirmAnnouncedView(now);
     updateReadiness();
@@ -212,18 +227,29 @@
     if (config) {
         changed = installConfig(std::move(*config)) || changed;
     }
-    for (const backend_record &record : response.backends) {
-        changed = m_backends.apply(record, now) || changed;
-    }
+    changed = applyPeerBackends(response, now) || changed;
     if (freshAt) {
-        m_configEndOffset = std::max(m_configEndOffset, response.position.configEndOffset);
-        m_backends.advanceTo(response.position.backendsEndOffset);
+        advanceConfigTo(response.position.configEnd);
+        m_backends.advanceTo(response.position.backendsEnd);
     }
     confirmAnnouncedView(now);
     updateReadiness();
     return changed;
 }
 
+bool fleet_state::applyPeerBackends(const view_response &response, time_point now)
+{
+    if (response.completeBackends) {
+        return m_backends.applyPeerListing(
+            {response.backends, response.disputedBackends, response.position.backendsEnd}, now);
+    }
+    bool changed = false;
+    for (const backend_record &record : response.backends) {
+        changed = m_backends.applyPeerChange(record, now) || changed;
+    }
+    return changed;
+}
+
 view_request fleet_state::makeViewRequest() const
 {
     view_request request{position()};
@@ -253,8 +279,18 @@
     if (m_config->version > request.position.configVersion) {
         response.config = m_configHistory.updateFrom(request.position.configVersion);
     }
-    response.backends = m_backends.changesSince(
-        std::max(request.position.lastBackendChangeOffset.value_or(0), request.position.backendsEndOffset));
+    const view_position &known = request.position;
+    topic_position from = std::max(known.lastBackendChange.value_or(topic_position()), known.backendsEnd);
+    if (!request.acceptsListing && from != topic_position()) {
+        from.era = m_backends.endPosition().era;
+        response.backends = m_backends.changesSince(from);
+    } else if (m_complete && known.backendsEnd < m_backends.listedUpTo()) {
+        response.completeBackends = true;
+        response.backends = m_backends.allRecords();
+        response.disputedBackends = m_backends.disputedServers();
+    } else {
+        response.backends = m_backends.changesSince(from);
+    }
     response.members = m_members.alive(now);
     response.evacuations = m_evacuations.records();
     return response;
@@ -297,9 +333,9 @@
 heartbeat_message fleet_state::heartbeatWithChanges(const view_position &before, time_point now) const
 {
     heartbeat_message changesMessage = basicHeartbeat(now);
-    std::vector<backend_record> records = m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset));
+    std::vector<backend_record> records = m_backends.changesSince(positionAfter(before.lastBackendChange));
     if (!records.empty() && fitsHeartbeat(records)) {
-        changesMessage.changes = {before.lastBackendChangeOffset, std::move(records)};
+        changesMessage.changes = {before.lastBackendChange, std::move(records)};
     }
     return changesMessage;
 }
@@ -311,7 +347,11 @@
         return std::nullopt;
     }
     const bool newConfig = m_config->version > before.configVersion;
-    const bool fits = !newConfig && fitsHeartbeat(m_backends.changesSince(offsetAfter(before.lastBackendChangeOffset)));
+    // The other entries of a fleet that does not know the era of the store yet learn of it one after the other.
+    const bool learnsEra = !before.backendsEnd.era && m_backends.endPosition().era;
+    const bool listed = !learnsEra && before.backendsEnd < m_backends.listedUpTo();
+    const bool fits
+        = !newConfig && !listed && fitsHeartbeat(m_backends.changesSince(positionAfter(before.lastBackendChange)));
     if (fits || !m_members.isLarge()) {
         return std::nullopt;
     }
@@ -365,8 +405,13 @@
 
 time_point fleet_state::nextRead(time_point now) const
 {
-    const time_point dueAt = m_schedule.nextRead(m_members.rank(now), m_members.countAlive(now));
-    return std::max(dueAt, std::min(m_relayEndsAt, dueAt + maxReadDelay));
+    const std::size_t rank = m_members.rank(now);
+    const std::size_t members = m_members.countAlive(now);
+    const time_point dueAt = m_schedule.nextRead(rank, members);
+    const time_point delayedDueAt = std::max(dueAt, std::min(m_relayEndsAt, dueAt + maxReadDelay));
+    const time_point listingNeededAt
+        = m_evacuations.isContradicted() ? now : m_backends.listingNeededAt().value_or(time_point::max());
+    return std::min(delayedDueAt, std::max(listingNeededAt, m_schedule.retryAt(rank, members)));
 }
 
 time_point fleet_state::freshAt() const
@@ -386,7 +431,12 @@
 
 view_position fleet_state::position() const
 {
-    return {m_config->version, m_configEndOffset, m_backends.lastChangeOffset(), m_backends.endOffset()};
+    return {m_config->version, m_configEnd, m_backends.lastChange(), m_backends.endPosition(), m_backends.listedUpTo()};
+}
+
+bool fleet_state::needsBackendListing(time_point now) const
+{
+    return !m_complete || m_backends.listingNeededAt().value_or(time_point::max()) <= now;
 }
 
 bool fleet_state::isComplete() const
--- a/libs/fleet/src/fleetstateevacuations.cpp
+++ b/libs/fleet/src/fleetstateevacuations.cpp
@@ -13,26 +13,20 @@
 /** Members in a heartbeat however many evacuations there are, so that large fleets still learn of each other. */
 constexpr std::size_t minGossipedMembers = 4;
 
-topic_position configEnd(const view_position &position)
-{
-    return {0, position.configEndOffset};
-}
-
 }
 
 bool fleet_state::applyEvacuations(const store_read_result &readResult)
 {
-    const bool changed
-        = readResult.completeConfigListing
-              ? m_evacuations.applyListing(readResult.evacuations, topic_position{0, readResult.configEndOffset})
-              : m_evacuations.applyRead(readResult.evacuations);
+    const bool changed = readResult.completeConfigListing
+                             ? m_evacuations.applyListing(readResult.evacuations, readResult.configEnd)
+                             : m_evacuations.applyRead(readResult.evacuations);
     m_evacuationsUnannounced = m_evacuationsUnannounced || changed;
     return changed;
 }
 
 bool fleet_state::applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition)
 {
-    return m_evacuations.applyPeerTable(records, configEnd(peerPosition), configEnd(position()));
+    return m_evacuations.applyPeerTable(records, peerPosition.configEnd, m_configEnd);
 }
 
 std::size_t fleet_state::gossipLimit(std::size_t maxMembers) const
@@ -59,6 +53,11 @@
     return announcement;
 }
 
+void fleet_state::advanceConfigTo(const topic_position &end)
+{
+    m_configEnd = std::max(m_configEnd, end);
+}
+
 const evacuation_table &fleet_state::evacuations() const
 {
     return m_evacuations;
--- a/libs/fleet/src/viewresponsecache.cpp
+++ b/libs/fleet/src/viewresponsecache.cpp
@@ -5,7 +5,7 @@
 std::shared_ptr<const std::string>
 view_response_cache::encodedResponse(fleet_state &state, const view_request &request, time_point now)
 {
-    if (request != view_request()) {
+    if (request.position != view_position()) {
         return std::make_shared<const std::string>(encode(state.makeViewResponse(request, now), now));
     }
     std::vector<evacuation_record> evacuations = state.evacuations().records();
--- a/libs/fleet/tests/backendregistrytest.cpp
+++ b/libs/fleet/tests/backendregistrytest.cpp
@@ -57,7 +57,7 @@
     backend_registry registry;
     registry.apply(makeReport(0, makeServer("s", 10, 1)), startTime);
     cr_assert_not(registry.apply(makeReport(1, makeServer("s", 10, 2)), startTime));
-    cr_assert_eq(registry.lastChangeOffset(), 0);
+    cr_assert_eq(registry.lastChange(), 0);
 }
 
 Test(backend_reports, draining_server_stays_unusable_despite_late_report)
@@ -121,7 +121,7 @@
     registry.apply(makeReport(1, makeServer("t", 10, 1)), startTime);
     cr_assert(registry.replaceAll({makeReport(3, makeServer("t", 10, 2))}, 4, startTime));
     cr_assert_eq(usableIn(registry).size(), 1);
-    cr_assert_eq(registry.endOffset(), 4);
+    cr_assert_eq(registry.endPosition(), 4);
 }
 
 TestSuite(registrations_expire_during_store_outage);
--- a/libs/fleet/tests/entrystarttest.cpp
+++ b/libs/fleet/tests/entrystarttest.cpp
@@ -41,7 +41,7 @@
     late.applyStoreRead(makeListing(startTime + milliseconds(300), 700, 50), startTime + milliseconds(300));
     store_read_result emptyRead = makeStoreRead(startTime + milliseconds(900), 3, {});
     emptyRead.config.reset();
-    emptyRead.backendsEndOffset = 900;
+    emptyRead.backendsEnd = 900;
     early.applyStoreRead(emptyRead, startTime + milliseconds(900));
     late.applyStoreRead(emptyRead, startTime + milliseconds(950));
     const time_point now = startTime + milliseconds(1000);
--- a/libs/fleet/tests/evacuationfleettest.cpp
+++ b/libs/fleet/tests/evacuationfleettest.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-const evacuation_record zoneAEvacuated{"zone-a", {0, 7}, true};
-const evacuation_record zoneAReturned{"zone-a", {0, 9}, false};
+const evacuation_record zoneAEvacuated{"zone-a", 7, true};
+const evacuation_record zoneAReturned{"zone-a", 9, false};
 
 /** A read of a topic with version 3 of the configuration, up to @p end. */
 store_read_result makeRead(time_point at, store_offset end, std::vector<evacuation_record> evacuations = {})
 {
     store_read_result read = makeStoreRead(at, 3, {});
-    read.configEndOffset = end;
+    read.configEnd = end;
     read.evacuations = std::move(evacuations);
     return read;
 }
@@ -125,7 +125,7 @@
     peer.applyViewResponse(firstResponse, std::nullopt, readAt, readAt);
     cr_assert_not(isEvacuated(peer));
     const heartbeat_message ended = peer.basicHeartbeat(readAt);
-    peer.applyStoreRead(makeRead(readAt, 12, {{"zone-a", {0, 11}, true}}), readAt);
+    peer.applyStoreRead(makeRead(readAt, 12, {{"zone-a", 11, true}}), readAt);
     peer.applyHeartbeat(ended, readAt);
     peer.applyHeartbeat(first, readAt);
     cr_assert(isEvacuated(peer));
@@ -173,7 +173,7 @@
         servers.push_back(makeBackendRecord("s" + std::to_string(offset), offset));
     }
     store_read_result read = makeStoreRead(readAt, 3, servers);
-    read.configEndOffset = 7;
+    read.configEnd = 7;
     reader.applyStoreRead(read, readAt);
     cr_assert_not(reader.announceChanges(before, readAt).has_value(), "the servers wait");
     const view_position second = reader.position();
@@ -247,7 +247,7 @@
     cutOff.applyStoreRead(makeRead(readAt, 8, {zoneAEvacuated}), readAt);
     const time_point later = readAt + seconds(20);
     cr_assert(isEvacuated(cutOff));
-    reader.applyStoreRead(makeRead(later, 11, {zoneAEvacuated, zoneAReturned, {"zone-b", {0, 10}, true}}), later);
+    reader.applyStoreRead(makeRead(later, 11, {zoneAEvacuated, zoneAReturned, {"zone-b", 10, true}}), later);
     cutOff.applyHeartbeat(reader.basicHeartbeat(later), later);
     cr_assert((*cutOff.view(later)->evacuatedZones == zone_set{"zone-b"}));
 }
@@ -345,7 +345,7 @@
     view_response response = previous.makeViewResponse({}, readAt);
     response.evacuations.clear();
     upgraded.applyViewResponse(response, makeConfig(3), readAt, readAt);
-    cr_assert_eq(upgraded.position().configEndOffset, 8);
+    cr_assert_eq(upgraded.position().configEnd, 8);
     cr_assert(upgraded.evacuations().needsListing());
     upgraded.applyStoreRead(makeListing(readAt, 8, {zoneAEvacuated}), readAt);
     cr_assert(isEvacuated(upgraded));
@@ -359,7 +359,7 @@
     entry.applyStoreRead(makeRead(readAt, 8, {zoneAEvacuated}), readAt);
     previous.applyStoreRead(makeRead(readAt, 10, {zoneAEvacuated, zoneAReturned}), readAt);
     entry.applyHeartbeat(withoutEvacuations(previous.basicHeartbeat(readAt)), readAt);
-    cr_assert_eq(entry.position().configEndOffset, 10);
+    cr_assert_eq(entry.position().configEnd, 10);
     cr_assert(entry.evacuations().needsListing());
     cr_assert(entry.applyStoreRead(makeListing(readAt, 10), readAt));
     cr_assert_not(isEvacuated(entry));
--- a/libs/fleet/tests/evacuationmessagetest.cpp
+++ b/libs/fleet/tests/evacuationmessagetest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::vector<evacuation_record> evacuations{{"zone-a", {0, 7}, true}, {"zone-b", {0, 300}, false}};
+const std::vector<evacuation_record> evacuations{{"zone-a", 7, true}, {"zone-b", 300, false}};
 
 heartbeat_message makeHeartbeatWithEvacuations()
 {
@@ -69,7 +69,7 @@
 Test(evacuation_messages, a_zone_takes_few_bytes)
 {
     heartbeat_message heartbeat = makeHeartbeatWithEvacuations();
-    heartbeat.evacuations = {{"eu-central-1a", {0, 70'000}, true}};
+    heartbeat.evacuations = {{"eu-central-1a", 70'000, true}};
     const std::size_t size = encode(heartbeat, startTime).size();
     heartbeat.evacuations.clear();
     cr_assert_leq(size - encode(heartbeat, startTime).size(), 25);
@@ -113,7 +113,7 @@
     }
     store_read_result read = makeStoreRead(startTime, 3, {});
     for (std::size_t number = 0; number < evacuation_table::maxZones; ++number) {
-        read.evacuations.push_back({"eu-central-" + std::to_string(10'000 + number), {0, number}, true});
+        read.evacuations.push_back({"eu-central-" + std::to_string(10'000 + number), number, true});
     }
     entry.applyStoreRead(read, startTime);
     for (const heartbeat_message &heartbeat : {entry.heartbeat(startTime), entry.crossZoneHeartbeat(startTime)}) {
--- a/libs/fleet/tests/fleetfixture.h
+++ b/libs/fleet/tests/fleetfixture.h
@@ -47,8 +47,8 @@
     store_read_result readResult;
     readResult.startedAt = at;
     readResult.config = makeConfig(version);
-    readResult.configEndOffset = version;
-    readResult.backendsEndOffset = backends.empty() ? 0 : backends.back().offset + 1;
+    readResult.configEnd = version;
+    readResult.backendsEnd = backends.empty() ? topic_position() : positionAfter(backends.back().position);
     readResult.backends = std::move(backends);
     return readResult;
 }
@@ -69,10 +69,9 @@
     return heartbeat;
 }
 
-/** Sends a heartbeat of @p from to @p to, and the view request and response that it causes. */
-inline void exchangeHeartbeat(fleet_state &from, fleet_state &to, time_point now)
+/** Sends @p heartbeat of @p from to @p to, and the view request and response that it causes. */
+inline void deliverHeartbeat(fleet_state &from, const heartbeat_message &heartbeat, fleet_state &to, time_point now)
 {
-    const heartbeat_message heartbeat = from.basicHeartbeat(now);
     const fleet_state::heartbeat_result result = to.applyHeartbeat(heartbeat, now);
     if (!result.shouldRequestView) {
         return;
@@ -85,4 +84,10 @@
     to.applyViewResponse(response, newerConfig, result.announcedFreshAt, now);
 }
 
+/** Sends a periodic heartbeat of @p from to @p to, and the view request and response that it causes. */
+inline void exchangeHeartbeat(fleet_state &from, fleet_state &to, time_point now)
+{
+    deliverHeartbeat(from, from.basicHeartbeat(now), to, now);
+}
+
 }
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -113,7 +113,7 @@
     partialRead.backendsRead = false;
     cr_assert(entry.applyStoreRead(partialRead, later));
     cr_assert_eq(entry.view(later)->backends->at("lots").size(), 2);
-    cr_assert_eq(entry.position().backendsEndOffset, 2);
+    cr_assert_eq(entry.position().backendsEnd, 2);
     cr_assert_eq(entry.freshAt(), startTime);
 }
 
@@ -173,14 +173,14 @@
         record.server->warmupEndsAt = startTime;
     }
     cr_assert(decodeHeartbeat(encode(heartbeat, startTime), startTime).value() == heartbeat);
-    const view_request request{{1, 2, 3, 4}};
+    const view_request request{{1, 2, 3, 4, 2}};
     cr_assert(std::get<view_request>(decodeRequest(encode(request), startTime).value()) == request);
     view_response response = reader.makeViewResponse({}, startTime);
     for (backend_record &record : response.backends) {
         record.server->warmupEndsAt = startTime + milliseconds(700);
     }
     cr_assert(decodeViewResponse(encode(response, startTime), startTime).value() == response);
-    const view_update update{{1, 2, 3, 4}, response, {"10.0.0.1", "10.0.0.2"}};
+    const view_update update{{1, 2, 3, 4, 2}, response, {"10.0.0.1", "10.0.0.2"}};
     cr_assert(std::get<view_update>(decodeRequest(encode(update, startTime), startTime).value()) == update);
 }
 
@@ -236,7 +236,7 @@
 {
     store_read_result readResult = makeStoreRead(at, 3, std::move(backends));
     readResult.completeListing = true;
-    readResult.backendsEndOffset = end;
+    readResult.backendsEnd = end;
     return readResult;
 }
 
@@ -267,7 +267,7 @@
     {
         const view_position before = reader.position();
         reader.applyStoreRead(readResult, now);
-        peer.applyHeartbeat(reader.heartbeatWithChanges(before, now), now);
+        deliverHeartbeat(reader, reader.heartbeatWithChanges(before, now), peer, now);
     }
 
     std::size_t peerServers() const
--- a/libs/fleet/tests/storeoutagetest.cpp
+++ b/libs/fleet/tests/storeoutagetest.cpp
@@ -75,7 +75,7 @@
     store_read_result partialRead = makeFailedStoreRead(later);
     partialRead.backendsRead = true;
     partialRead.backends = {{"s", 1, std::nullopt}};
-    partialRead.backendsEndOffset = 2;
+    partialRead.backendsEnd = 2;
     cr_assert(entry.applyStoreRead(partialRead, later));
     cr_assert(entry.view(later)->backends->empty());
     cr_assert_eq(entry.view(later)->config->version, 3);
--- a/libs/fleet/tests/viewresponsecachetest.cpp
+++ b/libs/fleet/tests/viewresponsecachetest.cpp
@@ -14,8 +14,8 @@
     readResult.startedAt = startTime;
     readResult.config = config_source{{}, "text of version " + std::to_string(version)};
     readResult.config->config.version = version;
-    readResult.configEndOffset = version;
-    readResult.backendsEndOffset = end;
+    readResult.configEnd = version;
+    readResult.backendsEnd = end;
     for (store_offset offset = 0; offset < end; ++offset) {
         backend_server server;
         server.id = "s" + std::to_string(offset);
--- a/libs/fleet/tests/zoneloadreporttest.cpp
+++ b/libs/fleet/tests/zoneloadreporttest.cpp
@@ -51,7 +51,7 @@
     heartbeat.zoneLoads = {{"zone-a", milliseconds(1), {{"lots", 50}}}};
     json fields = json::from_msgpack(encode(heartbeat, startTime));
     fields.insert(fields.begin() + 8, json::array({json::array({"zone-c", 0, 7, true})}));
-    heartbeat.evacuations = {{"zone-c", {0, 7}, true}};
+    heartbeat.evacuations = {{"zone-c", 7, true}};
     fields.push_back(json({{"unknown", 1}}));
     cr_assert(decodeHeartbeat(pack(fields), startTime).value() == heartbeat);
 }
--- a/standins/keyedtopics.cpp
+++ b/standins/keyedtopics.cpp
@@ -52,6 +52,15 @@
 }
 
 std::optional<http_response> keyed_topics::handleCall(const http_request &request)
+{
+    std::optional<http_response> response = respond(request);
+    if (response && m_tellsEra) {
+        response->set("Store-Era", std::to_string(m_era));
+    }
+    return response;
+}
+
+std::optional<http_response> keyed_topics::respond(const http_request &request)
 {
     const std::string requestTarget(request.target());
     const std::string path = requestTarget.substr(0, requestTarget.find('?'));
@@ -94,7 +103,7 @@
 
 http_response keyed_topics::read(const topic &keyedTopic, std::uint64_t from) const
 {
-    if (from < keyedTopic.startOffset) {
+    if (from < keyedTopic.startOffset || from > keyedTopic.endOffset()) {
         return makeResponse(410, json({{"first", keyedTopic.startOffset}}).dump());
     }
     std::string body = bigEndian(keyedTopic.endOffset()) + bigEndian(keyedTopic.startOffset);
@@ -125,6 +134,22 @@
     }
 }
 
+void keyed_topics::copy()
+{
+    m_copiedTopics = m_topics;
+}
+
+void keyed_topics::restore()
+{
+    m_topics = m_copiedTopics;
+    ++m_era;
+}
+
+void keyed_topics::setTellsEra(bool tells)
+{
+    m_tellsEra = tells;
+}
+
 std::uint64_t keyed_topics::callCount() const
 {
     return m_callCount;
--- a/standins/logstandin.cpp
+++ b/standins/logstandin.cpp
@@ -5,7 +5,9 @@
  * All given ports serve the same streams. POST /control on a port changes the
  * behavior of that port:
  *   {"mode": "ok" | "down" | "lose_answers", "delay_ms": N}
- * For all ports, {"compact": true} deletes the history of keyed topics,
+ * For all ports, {"copy": true} keeps a copy of the keyed topics, {"restore": true}
+ * returns to it and raises the era that responses tell, {"tell_era": false} leaves
+ * the era out, {"compact": true} deletes the history of keyed topics,
  * {"retain": N} deletes all but the last N records of each stream except
  * "snapshots", and {"vms": {...}} replaces the VM list.
  */
@@ -181,9 +183,7 @@
         if (command.contains("retain")) {
             retain(command["retain"].get<std::size_t>());
         }
-        if (command.value("compact", false)) {
-            m_state.keyedTopics.compact();
-        }
+        controlKeyedTopics(command);
         json offsets = json::object();
         for (const auto &[name, stream] : m_state.streams) {
             offsets[name] = {{"first", stream.startOffset}, {"next", stream.endOffset()}};
@@ -194,6 +194,22 @@
                 .dump());
     }
 
+    void controlKeyedTopics(const json &command)
+    {
+        if (command.value("compact", false)) {
+            m_state.keyedTopics.compact();
+        }
+        if (command.value("copy", false)) {
+            m_state.keyedTopics.copy();
+        }
+        if (command.value("restore", false)) {
+            m_state.keyedTopics.restore();
+        }
+        if (command.contains("tell_era")) {
+            m_state.keyedTopics.setTellsEra(command["tell_era"].get<bool>());
+        }
+    }
+
     void retain(std::size_t count)
     {
         for (auto &[name, stream] : m_state.streams) {
