gateway: repeat a registration that the restored store has lost

What operators saw: an entry that had registered in the seconds that the store lost was found by nobody without a seed, for good.

Cause: the entry remembered that it had registered, not in which era.

Change: the era of the registration is kept; in a later one the entry registers again at once.

--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -83,6 +83,7 @@
     , m_store(context.get_executor(), settings.storeAddress)
     , m_storeReader(m_store, m_state)
     , m_memberRegistry(
+          context,
           m_store,
           m_state,
           [this](bool available) { recordStoreAvailability(available, "members"); },
@@ -203,6 +204,7 @@
             .warn();
     }
     m_followed = position;
+    m_memberRegistry.recordStoreRestored();
 }
 
 void control_plane::recordStoreAvailability(bool available, const char *part)
--- a/daemon/gateway/memberregistry.cpp
+++ b/daemon/gateway/memberregistry.cpp
@@ -7,6 +7,11 @@
 #include "cardamomdeck/http/asynctools.h"
 #include "cardamomdeck/platform/recordcodec.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
 namespace cardamomdeck {
 
 namespace asio = boost::asio;
@@ -14,6 +19,8 @@
 
 namespace {
 
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
 /** Delay before a failed registration is retried. */
 constexpr milliseconds registrationRetryDelay{1500};
 
@@ -34,7 +41,8 @@
 
 }
 
-member_registry::member_registry(platform::store_client &store,
+member_registry::member_registry(asio::io_context &context,
+                                 platform::store_client &store,
                                  fleet_state &state,
                                  std::function<void(bool)> onStoreCall,
                                  std::function<void()> onMembersRead)
@@ -42,6 +50,7 @@
     , m_state(state)
     , m_onStoreCall(std::move(onStoreCall))
     , m_onMembersRead(std::move(onMembersRead))
+    , m_timer(context)
 {
 }
 
@@ -60,6 +69,7 @@
         const result_code writeCode = co_await writeSelf();
         if (writeCode == result_code::ok) {
             m_registered = true;
+            m_registeredEra = m_store.era();
             log_line("announced").add("entry", m_state.members().self().name).info();
             co_return;
         }
@@ -91,7 +101,11 @@
 asio::awaitable<void> member_registry::run()
 {
     for (;;) {
-        co_await sleepUntil(steady::now() + (m_state.hasMembership() ? memberReadPeriod : discoveryTimeout));
+        m_timer.expires_at(steady::now() + (m_state.hasMembership() ? memberReadPeriod : discoveryTimeout));
+        co_await m_timer.async_wait(asTuple);
+        if (isRegistrationLost()) {
+            co_await registerSelf();
+        }
         const std::size_t rank = m_state.members().rank(steady::now());
         const bool membershipKnown = m_state.hasMembership();
         if (!m_registered && (!membershipKnown || rank < registeredEntries)) {
@@ -104,6 +118,19 @@
     }
 }
 
+bool member_registry::isRegistrationLost() const
+{
+    // The state may know of an era in which this entry has not called the store yet.
+    return m_registered && m_registeredEra < std::max(m_store.era(), m_state.position().backendsEnd.era);
+}
+
+void member_registry::recordStoreRestored()
+{
+    if (isRegistrationLost()) {
+        m_timer.cancel();
+    }
+}
+
 asio::awaitable<void> member_registry::deregister()
 {
     if (!m_possiblyRegistered) {
--- a/tests/system/restored_store_test.py
+++ b/tests/system/restored_store_test.py
@@ -193,5 +193,21 @@
         self.assertEqual(len(self.lots[0].counts()["arrivals"]), before)
 
 
+class Members(unittest.TestCase):
+    # Guards against entries that nobody finds any more without a seed: the store has lost their registrations.
+    def test_entries_register_again(self):
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        fleet = PlatformFleet(directory, entries=2, seeds=())
+        self.addCleanup(fleet.end)
+        fleet.store.control(copy=True)
+        self.assertEqual(fleet.store.keys("keyed.members"), [])
+        names = [entry.name for entry in fleet.entries]
+        wait_until(lambda: fleet.store.keys("keyed.members") == names, what="the entries are registered")
+        fleet.store.put_config(5, {"lots": route("/lots/")})
+        time.sleep(APPLY_SECONDS)
+        fleet.store.control(restore=True)
+        wait_until(lambda: fleet.store.keys("keyed.members") == names, STABLE_SECONDS, "they are registered again")
+
+
 if __name__ == "__main__":
     unittest.main()
