fleet: keep an evacuation whose record the restored store has lost

Cause: a listing without the record counts as the end of the evacuation.

Change: an evacuation of an earlier era holds for 5 s after the era has risen, and until the view has been complete after that. A removal that an entry reads in the later era ends it at once. Heartbeats carry the record as ended, so entries that have seen it in the later era are not misled.

--- a/daemon/gateway/controlplane.cpp
+++ b/daemon/gateway/controlplane.cpp
@@ -380,7 +380,7 @@
             m_readTimer.cancel();
         }
         sendHeartbeat();
-        publish();
+        publishNews("expiry");
     }
 }
 
--- a/daemon/gateway/evacuationreport.cpp
+++ b/daemon/gateway/evacuationreport.cpp
@@ -30,14 +30,15 @@
     }
     for (const evacuation_record &record : table.records()) {
         const bool wasEvacuated = before->contains(record.zone);
-        if (record.evacuated && !wasEvacuated) {
+        const bool isEvacuated = m_zones->contains(record.zone);
+        if (isEvacuated && !wasEvacuated) {
             log_line("zone_evacuated")
                 .add("zone", record.zone)
                 .add("offset", record.position.offset)
                 .add("source", source)
                 .add("in_settings", isInSettings(record.zone) ? "true" : "false")
                 .warn();
-        } else if (!record.evacuated && wasEvacuated) {
+        } else if (!isEvacuated && wasEvacuated) {
             log_line("zone_returned")
                 .add("zone", record.zone)
                 .add("offset", record.position.offset)
@@ -62,9 +63,10 @@
 
 void appendEvacuationMetrics(std::string &text, const evacuation_table &table)
 {
+    const zone_set_ptr evacuatedZones = table.evacuatedZones();
     for (const evacuation_record &record : table.records()) {
         const std::string zone = absl::StrReplaceAll(record.zone, {{"\\", "\\\\"}, {"\"", "\\\""}});
-        appendMetric(text, "zone_evacuated", "zone=\"" + zone + "\"", record.evacuated ? 1 : 0);
+        appendMetric(text, "zone_evacuated", "zone=\"" + zone + "\"", evacuatedZones->contains(record.zone) ? 1 : 0);
     }
 }
 
@@ -72,7 +74,7 @@
 {
     json zones = json::array();
     for (const evacuation_record &record : table.records()) {
-        if (record.evacuated) {
+        if (table.evacuatedZones()->contains(record.zone)) {
             zones.push_back({{"zone", record.zone}, {"offset", record.position.offset}});
         }
     }
--- a/libs/fleet/include/cardamomdeck/fleet/evacuationtable.h
+++ b/libs/fleet/include/cardamomdeck/fleet/evacuationtable.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "cardamomdeck/base/clock.h"
 #include "cardamomdeck/fleet/topicposition.h"
 
 #include <compare>
@@ -42,12 +43,17 @@
  * The newest known record of each availability zone. The newest position wins, so records from the store and from peers
  * may arrive late, more than once and out of order. Ended evacuations are kept, because a late record could otherwise
  * start them again.
+ *
+ * A store that is restored from an older copy may have lost the record of an evacuation in force. The zone stays
+ * evacuated for lostRecordGracePeriod, in which the operator can write the record again.
  */
 class evacuation_table
 {
 public:
     /** Maximum number of zones; the whole table is part of each heartbeat, which is one datagram. */
     static constexpr std::size_t maxZones = 64;
+    /** Time in which the record of an evacuation can be written again after the store has lost it. */
+    static constexpr milliseconds lostRecordGracePeriod{5000};
     /** Maximum length of all names together, in bytes, for the same reason. */
     static constexpr std::size_t maxTotalNameBytes = 1024;
 
@@ -72,6 +78,15 @@
      */
     bool applyPeerTable(const std::vector<evacuation_record> &records, topic_position peerEnd, topic_position ownEnd);
 
+    /** Starts the grace period of evacuations from before @p era, unless that is known. */
+    void recordEra(const store_era &era, time_point now);
+
+    /**
+     * Ends the evacuations from before the last era, if their grace period is over and the view was complete at
+     * @p freshAt, after it. Returns true when evacuatedZones() changed.
+     */
+    bool endGracePeriod(time_point freshAt);
+
     /**
      * True if the next read must be a complete listing: the topic has not been listed yet, or a peer's table
      * contradicts this one although both should contain the same records. Entries of earlier versions, which know no
@@ -97,6 +112,8 @@
     {
         topic_position position;
         bool evacuated = false;
+        /** Evacuated in an earlier era; the grace period has not ended. */
+        bool inGracePeriod = false;
     };
     using zone_map = std::map<std::string, known_zone>;
 
@@ -109,6 +126,9 @@
     zone_map m_zones;
     std::size_t m_nameBytes = 0;
     zone_set_ptr m_evacuated = std::make_shared<const zone_set>();
+    /** Last known era, and end of the grace period that it began. */
+    store_era m_era;
+    time_point m_graceEndsAt;
     /** A listing that ends here or later is necessary; none if the table is confirmed. */
     std::optional<topic_position> m_listingNeededUpTo = topic_position();
 };
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -232,10 +232,12 @@
     /** True if @p position is from an era of the store before that of this view. */
     bool isOfEarlierEra(const view_position &position) const;
     /** Raises m_configEnd to @p end; a lower position is ignored. */
-    void advanceConfigTo(const topic_position &end);
+    void advanceConfigTo(const topic_position &end, time_point now);
     bool applyEvacuations(const store_read_result &readResult);
     /** Applies the table of a peer with the view @p peerPosition; returns true when the evacuated zones changed. */
-    bool applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition);
+    bool applyPeerEvacuations(const std::vector<evacuation_record> &records,
+                              const view_position &peerPosition,
+                              time_point now);
     /** Number of members in a heartbeat that has room for @p maxMembers of them without evacuations. */
     std::size_t gossipLimit(std::size_t maxMembers) const;
     /** Announces evacuations alone if a read has changed them, while the changes after @p announced are deferred. */
--- a/libs/fleet/src/evacuationtable.cpp
+++ b/libs/fleet/src/evacuationtable.cpp
@@ -20,7 +20,8 @@
     if (!inserted && !isNewer) {
         return false;
     }
-    known = {record.position, record.evacuated};
+    const bool mayBeLost = known.evacuated && known.position.era && known.position.era < record.position.era;
+    known = {record.position, record.evacuated, !record.evacuated && (mayBeLost || known.inGracePeriod)};
     if (inserted) {
         m_nameBytes += record.zone.size();
         dropExcess();
@@ -50,7 +51,7 @@
 {
     zone_set zones;
     for (const auto &[zone, known] : m_zones) {
-        if (known.evacuated) {
+        if (known.evacuated || known.inGracePeriod) {
             zones.insert(zone);
         }
     }
@@ -63,13 +64,17 @@
 
 bool evacuation_table::apply(const evacuation_record &record)
 {
-    return merge(record) && updateEvacuatedZones();
+    return applyRead({record});
 }
 
 bool evacuation_table::applyRead(const std::vector<evacuation_record> &records)
 {
     for (const evacuation_record &record : records) {
-        merge(record);
+        const auto found = merge(record) ? m_zones.find(record.zone) : m_zones.end();
+        if (found != m_zones.end()) {
+            // The operator has written the record in this era.
+            found->second.inGracePeriod = false;
+        }
     }
     return updateEvacuatedZones();
 }
@@ -116,6 +121,30 @@
     return updateEvacuatedZones();
 }
 
+void evacuation_table::recordEra(const store_era &era, time_point now)
+{
+    if (m_era < era) {
+        m_era = era;
+        m_graceEndsAt = now + lostRecordGracePeriod;
+    }
+}
+
+bool evacuation_table::endGracePeriod(time_point freshAt)
+{
+    if (freshAt < m_graceEndsAt) {
+        return false;
+    }
+    for (auto &[zone, known] : m_zones) {
+        if (known.evacuated && known.position.era < m_era) {
+            // All entries choose the start of the era, which no record written again in it can precede.
+            known.position = {m_era, 0};
+            known.evacuated = false;
+        }
+        known.inGracePeriod = false;
+    }
+    return updateEvacuatedZones();
+}
+
 void evacuation_table::requireListing(topic_position end)
 {
     m_listingNeededUpTo = std::max(m_listingNeededUpTo.value_or(end), end);
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -82,7 +82,7 @@
     }
     if (configRead) {
         changed = applyEvacuations(readResult) || changed;
-        advanceConfigTo(readResult.configEnd);
+        advanceConfigTo(readResult.configEnd, now);
     }
     // Records that were read before a later call failed are applied, but do not refresh the view.
     const bool applicable = backendsRead || !readResult.completeListing;
@@ -139,7 +139,7 @@
         m_members.recordGossip(gossiped.member, now - gossiped.age, now);
     }
     // Before the sender's view can make this one count as fresh.
-    result.evacuationsChanged = applyPeerEvacuations(message.evacuations, message.position);
+    result.evacuationsChanged = applyPeerEvacuations(message.evacuations, message.position, now);
     if (message.viewAge) {
         result.announcedFreshAt = now - *message.viewAge;
     }
@@ -177,7 +177,7 @@
         return result;
     }
     recordFresh(now - *message.viewAge, now);
-    advanceConfigTo(message.position.configEnd);
+    advanceConfigTo(message.position.configEnd, now);
     m_backends.advanceTo(message.position.backendsEnd);
     updateReadiness();
     return result;
@@ -189,14 +189,14 @@
         return;
     }
     recordFresh(m_announcedView->freshAt, now);
-    advanceConfigTo(m_announcedView->position.configEnd);
+    advanceConfigTo(m_announcedView->position.configEnd, now);
     m_backends.advanceTo(m_announcedView->position.backendsEnd);
     m_announcedView.reset();
 }
 
 bool fleet_state::applyViewUpdate(const view_update &update, std::optional<config_source> config, time_point now)
 {
-    bool changed = applyPeerEvacuations(update.changes.evacuations, update.changes.position);
+    bool changed = applyPeerEvacuations(update.changes.evacuations, update.changes.position, now);
     if (config) {
         changed = installConfig(std::move(*config)) || changed;
     }
@@ -220,7 +220,7 @@
         m_members.recordDiscovered(member, now);
     }
     m_membershipKnown = m_membershipKnown || !response.members.empty();
-    bool changed = applyPeerEvacuations(response.evacuations, response.position);
+    bool changed = applyPeerEvacuations(response.evacuations, response.position, now);
     if (freshAt) {
         recordFresh(*freshAt, now);
     }
@@ -229,7 +229,7 @@
     }
     changed = applyPeerBackends(response, now) || changed;
     if (freshAt) {
-        advanceConfigTo(response.position.configEnd);
+        advanceConfigTo(response.position.configEnd, now);
         m_backends.advanceTo(response.position.backendsEnd);
     }
     confirmAnnouncedView(now);
@@ -381,6 +381,7 @@
 {
     m_members.expire(now);
     m_sizeEstimate.record(m_members.peers().size() + 1, now);
+    m_evacuationsUnannounced = m_evacuations.endGracePeriod(m_schedule.freshAt()) || m_evacuationsUnannounced;
     return m_backends.endGracePeriods(now);
 }
 
--- a/libs/fleet/src/fleetstateevacuations.cpp
+++ b/libs/fleet/src/fleetstateevacuations.cpp
@@ -24,8 +24,11 @@
     return changed;
 }
 
-bool fleet_state::applyPeerEvacuations(const std::vector<evacuation_record> &records, const view_position &peerPosition)
+bool fleet_state::applyPeerEvacuations(const std::vector<evacuation_record> &records,
+                                       const view_position &peerPosition,
+                                       time_point now)
 {
+    m_evacuations.recordEra(peerPosition.configEnd.era, now);
     return m_evacuations.applyPeerTable(records, peerPosition.configEnd, m_configEnd);
 }
 
@@ -53,9 +56,10 @@
     return announcement;
 }
 
-void fleet_state::advanceConfigTo(const topic_position &end)
+void fleet_state::advanceConfigTo(const topic_position &end, time_point now)
 {
     m_configEnd = std::max(m_configEnd, end);
+    m_evacuations.recordEra(m_configEnd.era, now);
 }
 
 const evacuation_table &fleet_state::evacuations() const
--- a/libs/fleet/tests/restoredstoretest.cpp
+++ b/libs/fleet/tests/restoredstoretest.cpp
@@ -281,3 +281,91 @@
     cr_assert_eq(response.backends.size(), 1);
     cr_assert_eq(response.backends.front().id, "s2");
 }
+
+TestSuite(restored_store_evacuations);
+
+namespace {
+
+/** Two entries that know an evacuation of zone-a, and a reader that lists a store without it. */
+struct lost_evacuation : restored_store
+{
+    lost_evacuation()
+    {
+        for (fleet_state *entry : {&reader, &peer}) {
+            now = startTime + milliseconds(400);
+            store_read_result read = makeStoreRead(now, 7, {});
+            read.configEnd = {era, 21};
+            read.backendsEnd = {era, 20};
+            read.evacuations = {{"zone-a", {era, 20}, true}};
+            entry->applyStoreRead(read, now);
+        }
+        readRestored();
+        exchangeHeartbeat(reader, peer, now);
+    }
+
+    /** Time passes in which the reader reads, and the peer hears of it. */
+    void pass(milliseconds duration, const std::vector<evacuation_record> &evacuations = {})
+    {
+        now += duration;
+        store_read_result read = makeStoreRead(now, 7, {});
+        read.configEnd = {laterEra, 10 + evacuations.size()};
+        read.backendsEnd = {laterEra, 10};
+        read.evacuations = evacuations;
+        reader.applyStoreRead(read, now);
+        exchangeHeartbeat(reader, peer, now);
+        reader.expire(now);
+        peer.expire(now);
+    }
+
+    bool isEvacuated() const
+    {
+        const bool byReader = reader.evacuations().evacuatedZones()->contains("zone-a");
+        cr_assert_eq(peer.evacuations().evacuatedZones()->contains("zone-a"), byReader);
+        return byReader;
+    }
+};
+
+constexpr milliseconds gracePeriod = evacuation_table::lostRecordGracePeriod;
+
+}
+
+// Guards against requests in a zone whose evacuation the store has lost, before the operator has written it again.
+Test(restored_store_evacuations, lost_one_holds_for_its_grace_period)
+{
+    lost_evacuation store;
+    cr_assert(store.isEvacuated());
+    store.pass(gracePeriod - milliseconds(1));
+    cr_assert(store.isEvacuated());
+    store.pass(milliseconds(1));
+    cr_assert_not(store.isEvacuated());
+}
+
+Test(restored_store_evacuations, one_that_is_written_again_goes_on)
+{
+    lost_evacuation store;
+    store.pass(milliseconds(700), {{"zone-a", {laterEra, 10}, true}});
+    store.pass(2 * gracePeriod);
+    cr_assert(store.isEvacuated());
+}
+
+// Guards against a zone that stays unused although the operator has taken its evacuation back after the return.
+Test(restored_store_evacuations, one_that_is_taken_back_ends_at_the_reader_at_once)
+{
+    lost_evacuation store;
+    store.now += milliseconds(700);
+    store_read_result read = makeStoreRead(store.now, 7, {});
+    read.configEnd = {laterEra, 11};
+    read.backendsEnd = {laterEra, 10};
+    read.evacuations = {{"zone-a", {laterEra, 10}, false}};
+    store.reader.applyStoreRead(read, store.now);
+    cr_assert(store.reader.evacuations().evacuatedZones()->empty());
+}
+
+// Guards against an entry that ends an evacuation by itself while it hears nothing of the store.
+Test(restored_store_evacuations, lost_one_holds_while_the_view_is_not_current)
+{
+    lost_evacuation store;
+    store.now += 2 * gracePeriod;
+    store.reader.expire(store.now);
+    cr_assert(store.reader.evacuations().evacuatedZones()->contains("zone-a"));
+}
--- a/tests/system/restored_store_test.py
+++ b/tests/system/restored_store_test.py
@@ -159,6 +159,27 @@
         time.sleep(EVACUATE_SECONDS)
         self.assertEqual(self.arrivals(), 0)
 
+    # Guards against requests in the zone before the operator has written its lost evacuation again.
+    def test_lost_evacuation_holds_until_it_is_written_again(self):
+        self.copy()
+        self.evacuate()
+        self.wait_until_evacuated()
+        self.restore()
+        deadline = time.monotonic() + STABLE_SECONDS
+        while time.monotonic() < deadline:
+            self.assertEqual(self.arrivals(1), 0)
+        self.evacuate()
+        time.sleep(EVACUATE_SECONDS)
+        self.assertEqual(self.arrivals(), 0)
+
+    # Guards against a zone that nobody uses again: the evacuation is in no store any more.
+    def test_lost_evacuation_ends_if_it_is_not_written_again(self):
+        self.copy()
+        self.evacuate()
+        self.wait_until_evacuated()
+        self.restore()
+        wait_until(lambda: self.arrivals(1) > 0, 2 * EVACUATE_SECONDS, "the zone is used again")
+
 
 class Servers(RestoredStore):
     # Guards against requests that fail, or a server that gets none, because the store has forgotten its record.
