fleet: a view without its configuration is not current

What callers could see: an entry served an old version until the next one was written, if the configuration that a peer sent could not be restored and that peer ended before the next heartbeat. Found by reading.

Cause: the position and the age of the peer's view were taken over without its configuration, so no read of the store began before its record.

Change: they are taken over only if the entry has the version of the view.

Measured: the new test fails before (position 5 with version 3) and passes.

--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -221,14 +221,16 @@
     }
     m_membershipKnown = m_membershipKnown || !response.members.empty();
     bool changed = applyPeerEvacuations(response.evacuations, response.position, now);
-    if (freshAt) {
-        recordFresh(*freshAt, now);
-    }
     if (config) {
         changed = installConfig(std::move(*config)) || changed;
     }
+    // The configuration of the response may not have been restored; a read of the store must find it then.
+    const bool isCurrent = freshAt && m_config->version >= response.position.configVersion;
+    if (isCurrent) {
+        recordFresh(*freshAt, now);
+    }
     changed = applyPeerBackends(response, now) || changed;
-    if (freshAt) {
+    if (isCurrent) {
         advanceConfigTo(response.position.configEnd, now);
         m_backends.advanceTo(response.position.backendsEnd);
     }
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -305,3 +305,27 @@
     exchangeHeartbeat(fixture.reader, fixture.peer, fixture.now);
     cr_assert_eq(fixture.peerServers(), 0);
 }
+
+TestSuite(configuration_that_cannot_be_restored);
+
+// Guards against an entry that never reads a version, as it counts as current without the configuration that a peer sent
+// and that could not be restored; the peer may end before it is asked again.
+Test(configuration_that_cannot_be_restored, view_without_it_is_not_current)
+{
+    fleet_state reader(makeMember("e1"));
+    fleet_state peer(makeMember("e2"));
+    for (fleet_state *entry : {&reader, &peer}) {
+        entry->applyStoreRead(makeStoreRead(startTime, 3, {makeBackendRecord("s1", 0)}), startTime);
+    }
+    const time_point now = startTime + milliseconds(500);
+    reader.applyStoreRead(makeStoreRead(now, 5, {}), now);
+    const auto result = peer.applyHeartbeat(reader.basicHeartbeat(now), now);
+    cr_assert(result.shouldRequestView);
+    const view_response response = reader.makeViewResponse(peer.makeViewRequest(), now);
+    peer.applyViewResponse(response, std::nullopt, result.announcedFreshAt, now);
+    cr_assert_eq(peer.position().configEnd, 3);
+    cr_assert_eq(peer.freshAt(), startTime);
+    peer.applyViewResponse(response, makeConfig(5), result.announcedFreshAt, now);
+    cr_assert_eq(peer.position().configEnd, 5);
+    cr_assert_eq(peer.freshAt(), now);
+}
