--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -323,7 +323,11 @@
     print(apiResponse.body, [](const json &body) {
         std::cout << "entry " << body["entry"] << " config " << body["config_version"] << " view "
                   << body["view_age_ms"] << " ms old, store "
-                  << (body["store_available"].get<bool>() ? "reachable" : "unreachable") << "\n";
+                  << (body["store_available"].get<bool>() ? "reachable" : "unreachable");
+        if (const json era = body.value("store_era", json()); !era.is_null()) {
+            std::cout << " in era " << era;
+        }
+        std::cout << "\n";
         printZoneOverflow(body.value("zone_overflow", json::object()));
         for (const json &zone : body.value("evacuated_zones", json::array())) {
             std::cout << "  zone " << zone["zone"] << " evacuated, offset " << zone["offset"] << "\n";
