fleet: do not ask for a view that only a later listing separates

What it would have cost: each starting entry gets a complete view, whose end is a moment later than that of most others. They took it for unknown changes and asked the starting entry for its whole view; its last change was the position of the newest report, not of a change. An evacuation table that a peer ahead of the store contradicts would have been read without a pause.

Change: within one era, a view that only a listing separates is not asked for and confirms nothing, as after an initial listing; the last change of a complete view is that of its sender. Servers that are gone already are no change of a further listing, and the time of a dispute ends with a listing of this entry only.

--- a/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
+++ b/libs/fleet/include/cardamomdeck/fleet/backendregistry.h
@@ -65,6 +65,8 @@
         const std::vector<backend_record> &records;
         const std::vector<std::string> &disputedServers;
         const topic_position &end;
+        /** The peer's lastChange(); the positions of the records are mostly of reports that changed nothing. */
+        std::optional<topic_position> lastChange;
     };
 
     /** Applies all records of a peer, as replaceAll() does. */
@@ -167,10 +169,10 @@
      * counts as a change, because other entries may not have seen the record that the store has lost.
      */
     bool replacesLostRecord(const topic_position &known, const topic_position &position) const;
-    bool applyListing(const peer_listing &listing, time_point now);
+    bool applyListing(const peer_listing &listing, bool isOwnListing, time_point now);
     /** True if @p record repeats the newest report of @p known, whose registration the store has lost. */
     bool isRegisteredAgain(const known_backend &known, const backend_record &record) const;
-    void updateDisputes(const std::set<std::string> &listed, time_point now);
+    void updateDisputes(const std::set<std::string> &listed, bool isOwnListing, time_point now);
     /** True if @p next tells that the server @p known of a service with a limit has turned cold again. */
     bool turnsCold(const backend_server &known, const backend_server &next, time_point now) const;
 
--- a/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
+++ b/libs/fleet/include/cardamomdeck/fleet/fleetstate.h
@@ -266,6 +266,8 @@
     /** A read has changed the evacuated zones, and no announcement has followed. */
     bool m_evacuationsUnannounced = false;
     bool m_complete = false;
+    /** Start of the last store read of this entry. */
+    time_point m_lastReadAt;
     /** Start of the last failed store read; none if no read has failed. */
     std::optional<time_point> m_failedReadAt;
     /** End of the last pause of this process. */
--- a/libs/fleet/src/backendregistry.cpp
+++ b/libs/fleet/src/backendregistry.cpp
@@ -145,17 +145,20 @@
 bool backend_registry::replaceAll(const std::vector<backend_record> &listing, const topic_position &end, time_point now)
 {
     const bool initialListing = m_backends.empty();
-    const bool changed = applyListing({listing, {}, end}, now);
+    const bool changed = applyListing({listing, {}, end, std::nullopt}, true, now);
     m_onlyInitialListing = initialListing || (m_onlyInitialListing && !changed);
     return changed;
 }
 
 bool backend_registry::applyPeerListing(const peer_listing &listing, time_point now)
 {
-    return applyListing(listing, now);
+    const std::optional<topic_position> lastChangeBefore = m_lastChange;
+    const bool changed = applyListing(listing, false, now);
+    m_lastChange = std::max(lastChangeBefore, listing.lastChange);
+    return changed;
 }
 
-bool backend_registry::applyListing(const peer_listing &listing, time_point now)
+bool backend_registry::applyListing(const peer_listing &listing, bool isOwnListing, time_point now)
 {
     const topic_position &end = listing.end;
     if (end.era < m_end.era) {
@@ -176,7 +179,15 @@
     }
     for (auto &[id, known] : m_backends) {
         const bool agrees = listed.contains(id) || (known.removed && listedAsRemoved.contains(id));
-        if (!agrees && known.position < end) {
+        if (agrees || known.position >= end) {
+            continue;
+        }
+        if (known.removed) {
+            // No change, but a record from before the listing is late from now on.
+            known.position = removedAt;
+            known.removedAt = removedAt;
+            known.removalUnread = true;
+        } else {
             changed = applyUnread({id, removedAt, std::nullopt}, now) || changed;
         }
     }
@@ -186,21 +197,21 @@
     m_end = std::max(m_end, end);
     m_listedUpTo = std::max(m_listedUpTo, end);
     listed.insert(listing.disputedServers.begin(), listing.disputedServers.end());
-    updateDisputes(listed, now);
+    updateDisputes(listed, isOwnListing, now);
     return changed;
 }
 
-void backend_registry::updateDisputes(const std::set<std::string> &listed, time_point now)
+void backend_registry::updateDisputes(const std::set<std::string> &listed, bool isOwnListing, time_point now)
 {
-    const bool isAwaited = m_listingNeededAt && *m_listingNeededAt <= now;
-    m_listingNeededAt.reset();
+    const time_point neededAt = listingNeededAt().value_or(now + disputeTimeout);
+    // Without a newer report after the timeout, the removal stands.
+    const bool isResolved = isOwnListing && neededAt <= now;
+    bool hasDispute = false;
     for (auto &[id, known] : m_backends) {
-        // Without a newer report after the timeout, the removal stands.
-        known.disputed = known.removed && listed.contains(id) && !isAwaited;
-        if (known.disputed) {
-            m_listingNeededAt = now + disputeTimeout;
-        }
+        known.disputed = known.removed && listed.contains(id) && !isResolved;
+        hasDispute = hasDispute || known.disputed;
     }
+    m_listingNeededAt = hasDispute ? std::optional(neededAt) : std::nullopt;
 }
 
 std::vector<std::string> backend_registry::disputedServers() const
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -67,6 +67,7 @@
 
 bool fleet_state::applyStoreRead(const store_read_result &readResult, time_point now)
 {
+    m_lastReadAt = readResult.startedAt;
     const bool configRead = readResult.configRead && readResult.configEnd.era >= m_configEnd.era;
     const bool backendsRead = readResult.backendsRead && readResult.backendsEnd.era >= m_backends.endPosition().era;
     if (configRead && backendsRead) {
@@ -165,9 +166,12 @@
     const bool hasUnknownChanges = !isUpToDateWith(message.position);
     const bool newConfig = message.position.configVersion > m_config->version;
     // A later initial listing usually contains no change, and the next reads of this entry or its peers pass its
-    // position soon.
+    // position soon. So they do if only the listing of the sender's view is later, but for one of a later era.
     const bool isOnlyInitialListing = m_complete && message.onlyInitialListing && !newConfig;
-    if (hasUnknownChanges && !isOnlyInitialListing) {
+    const bool isOnlyLaterListing = m_complete && !newConfig
+                                    && m_backends.isUpToDateWith(message.position.lastBackendChange)
+                                    && m_backends.endPosition().era == message.position.backendsEnd.era;
+    if (hasUnknownChanges && !isOnlyInitialListing && !isOnlyLaterListing) {
         m_announcedView = {message.position, now - *message.viewAge};
         result.shouldRequestView = true;
         return result;
@@ -242,8 +246,11 @@
 bool fleet_state::applyPeerBackends(const view_response &response, time_point now)
 {
     if (response.completeBackends) {
-        return m_backends.applyPeerListing(
-            {response.backends, response.disputedBackends, response.position.backendsEnd}, now);
+        return m_backends.applyPeerListing({response.backends,
+                                            response.disputedBackends,
+                                            response.position.backendsEnd,
+                                            response.position.lastBackendChange},
+                                           now);
     }
     bool changed = false;
     for (const backend_record &record : response.backends) {
@@ -412,8 +419,11 @@
     const std::size_t members = m_members.countAlive(now);
     const time_point dueAt = m_schedule.nextRead(rank, members);
     const time_point delayedDueAt = std::max(dueAt, std::min(m_relayEndsAt, dueAt + maxReadDelay));
-    const time_point listingNeededAt
-        = m_evacuations.isContradicted() ? now : m_backends.listingNeededAt().value_or(time_point::max());
+    // A contradiction that a read has not resolved, as the peer was ahead of the store, must not cause a series of
+    // reads.
+    const time_point listingNeededAt = m_evacuations.isContradicted()
+                                           ? m_lastReadAt + read_schedule::minReadAge
+                                           : m_backends.listingNeededAt().value_or(time_point::max());
     return std::min(delayedDueAt, std::max(listingNeededAt, m_schedule.retryAt(rank, members)));
 }
 
--- a/libs/fleet/tests/restoredstoretest.cpp
+++ b/libs/fleet/tests/restoredstoretest.cpp
@@ -369,3 +369,46 @@
     store.reader.expire(store.now);
     cr_assert(store.reader.evacuations().evacuatedZones()->contains("zone-a"));
 }
+
+TestSuite(views_of_started_entries);
+
+// Guards against a fleet of which each entry asks a starting one for the whole view, because that was made a moment
+// later.
+Test(views_of_started_entries, are_not_asked_for)
+{
+    restored_store store;
+    store.now += milliseconds(500);
+    store_read_result read
+        = makeStoreRead(store.now, 7, {makeRecordOf(era, "s1", 20, 4), makeRecordOf(era, "s2", 29, 2)});
+    read.configEnd = {era, 20};
+    store.reader.applyStoreRead(read, store.now);
+    fleet_state starting(makeMember("e3"));
+    exchangeHeartbeat(store.reader, starting, store.now);
+    cr_assert_eq(serversOf(starting, store.now), 2);
+    cr_assert(starting.position().lastBackendChange == store.reader.position().lastBackendChange);
+    store.peer.applyHeartbeat(starting.basicHeartbeat(store.now), store.now);
+    const fleet_state::heartbeat_result result
+        = store.peer.applyHeartbeat(starting.basicHeartbeat(store.now), store.now);
+    cr_assert_not(result.shouldRequestView);
+    cr_assert_eq(store.peer.freshAt(), startTime);
+}
+
+// Guards against a series of reads without a pause, when a peer was ahead of the store.
+Test(views_of_started_entries, contradiction_is_read_once_in_a_while)
+{
+    restored_store store;
+    heartbeat_message ahead = store.peer.basicHeartbeat(store.now);
+    ahead.position.configEnd = {era, 1000};
+    store_read_result read = makeStoreRead(store.now, 7, {});
+    read.configEnd = {era, 21};
+    read.backendsEnd = {era, 20};
+    read.evacuations = {{"zone-a", {era, 20}, true}};
+    store.reader.applyStoreRead(read, store.now);
+    store.reader.applyHeartbeat(ahead, store.now);
+    cr_assert(store.reader.evacuations().isContradicted());
+    cr_assert_leq(store.reader.nextRead(store.now), store.now + read_schedule::minReadAge);
+    read.completeConfigListing = true;
+    store.reader.applyStoreRead(read, store.now);
+    cr_assert(store.reader.evacuations().isContradicted());
+    cr_assert_eq(store.reader.nextRead(store.now), store.now + read_schedule::minReadAge);
+}
