--- a/daemon/gateway/evacuationreport.cpp
+++ b/daemon/gateway/evacuationreport.cpp
@@ -63,7 +63,7 @@
 
 void appendEvacuationMetrics(std::string &text, const evacuation_table &table)
 {
-    const zone_set_ptr evacuatedZones = table.evacuatedZones();
+    const zone_set_ptr &evacuatedZones = table.evacuatedZones();
     for (const evacuation_record &record : table.records()) {
         const std::string zone = absl::StrReplaceAll(record.zone, {{"\\", "\\\\"}, {"\"", "\\\""}});
         appendMetric(text, "zone_evacuated", "zone=\"" + zone + "\"", evacuatedZones->contains(record.zone) ? 1 : 0);
--- a/libs/fleet/tests/fleetstatetest.cpp
+++ b/libs/fleet/tests/fleetstatetest.cpp
@@ -308,8 +308,8 @@
 
 TestSuite(configuration_that_cannot_be_restored);
 
-// Guards against an entry that never reads a version, as it counts as current without the configuration that a peer sent
-// and that could not be restored; the peer may end before it is asked again.
+// Guards against an entry that never reads a version, as it counts as current without the configuration that a peer
+// sent and that could not be restored; the peer may end before it is asked again.
 Test(configuration_that_cannot_be_restored, view_without_it_is_not_current)
 {
     fleet_state reader(makeMember("e1"));
